--- /dev/null
+++ b/include/sapphirelane/config/fleet.h
@@ -0,0 +1,140 @@
+#ifndef SAPPHIRELANE_CONFIG_FLEET_H
+#define SAPPHIRELANE_CONFIG_FLEET_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "sapphirelane/base/time.h"
+
+namespace sapphirelane {
+
+/// @brief Longest time for which a token grant may be used by a daemon.
+///
+/// Counted from the moment the daemon sent its question. A bucket's capacity
+/// is lowered by rate x kGrantLife, so that a late use stays within burst.
+constexpr Milliseconds kGrantLife{ 250 };
+
+/// @brief Whether an endpoint or host receives new work.
+enum class LifeState
+{
+  InService,
+  Leaving,
+};
+
+/// @brief What may be done with a request of a route when an attempt fails.
+enum class RouteMode
+{
+  Safe,    ///< No effect; may be retried and hedged.
+  Plain,   ///< Has an effect; sent again only if no byte was sent before.
+  RunOnce, ///< Runs at most once for each idempotency key.
+};
+
+/// @brief A group of endpoints that do the same work.
+struct Service
+{
+  std::string id;
+  std::uint32_t floor = 50; ///< Percent of slots that ejection must leave.
+};
+
+/// @brief One address of a service.
+struct Endpoint
+{
+  std::string id;
+  LifeState state = LifeState::InService;
+  std::string service;
+  std::string address;           ///< "ip:port".
+  std::uint32_t slots = 1;       ///< Requests served at the same time.
+  std::uint32_t connections = 1; ///< Connections accepted from all hosts.
+};
+
+/// @brief Maps a path prefix to a service.
+struct Route
+{
+  std::string id;
+  std::string path;
+  std::string service;
+  RouteMode mode = RouteMode::Plain;
+  bool open = false;                ///< Served without a key.
+  Milliseconds timeout{ 5000 };     ///< Deadline when the caller names none.
+  std::vector<std::string> callers; ///< Accounts; empty for all accounts.
+};
+
+/// @brief A client account with its fleet-wide limit.
+struct Account
+{
+  std::string id;
+  double rate = 1;  ///< Requests a second.
+  double burst = 1; ///< Requests.
+};
+
+/// @brief A key of a client account; only its digest is kept.
+struct Key
+{
+  std::string id;
+  std::string account;
+  std::string digest; ///< Hexadecimal, see DigestOf.
+};
+
+/// @brief An entry host known to the operators.
+struct Host
+{
+  std::string id;
+  LifeState state = LifeState::InService;
+};
+
+/// @brief One version of everything that operators set.
+struct FleetConfig
+{
+  std::uint64_t version = 0;
+  std::map<std::string, Service> services;
+  std::map<std::string, Endpoint> endpoints;
+  std::map<std::string, Route> routes;
+  std::map<std::string, Account> accounts;
+  std::map<std::string, Key> keys;
+  std::map<std::string, Host> hosts;
+};
+
+/// @brief Finds every fault of a configuration that refers to itself wrongly
+/// or that no daemon could carry out.
+/// @return One sentence for each fault; empty if the configuration is sound.
+std::vector<std::string>
+FaultsOf(const FleetConfig& aConfig);
+
+/// @brief Finds the route with the longest path prefix of a path.
+/// @return The route, or nullptr if none matches.
+const Route*
+FindRoute(const FleetConfig& aConfig, const std::string& aPath);
+
+/// @brief Checks that text is "ip:port" with a numeric IPv4 address.
+bool
+IsAddress(const std::string& aText);
+
+/// @brief Encodes a configuration as rows, by key "kind/id".
+std::map<std::string, nlohmann::json>
+RowsOf(const FleetConfig& aConfig);
+
+/// @brief Sets or removes one row.
+/// @param aKey "kind/id".
+/// @param aRow The row, or null to remove it.
+/// @throws ConfigError if the kind or a field is not known.
+void
+SetRow(FleetConfig& aConfig,
+       const std::string& aKey,
+       const nlohmann::json& aRow);
+
+/// @brief Encodes a configuration, for the object store and for peers.
+std::string
+EncodeFleet(const FleetConfig& aConfig);
+
+/// @brief Decodes EncodeFleet's text.
+/// @throws ConfigError if the text is not a sound configuration.
+FleetConfig
+DecodeFleet(const std::string& aText);
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_CONFIG_FLEET_H
--- /dev/null
+++ b/include/sapphirelane/config/settings.h
@@ -0,0 +1,76 @@
+#ifndef SAPPHIRELANE_CONFIG_SETTINGS_H
+#define SAPPHIRELANE_CONFIG_SETTINGS_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "sapphirelane/base/time.h"
+
+namespace sapphirelane {
+
+/// @brief Ports that a daemon listens on.
+struct ListenSettings
+{
+  std::string address = "127.0.0.1"; ///< For callers and peers.
+  std::uint16_t callers = 8080;
+  std::uint16_t peers = 8083; ///< UDP and TCP.
+  std::string operator_address = "127.0.0.1";
+  std::uint16_t operators = 8081;
+};
+
+/// @brief Where the platform's services are.
+struct PlatformSettings
+{
+  std::string adapter = "http"; ///< Name of the plug-in, or "none".
+  std::string address;          ///< "ip:port".
+  Milliseconds timeout{ 1000 }; ///< For one call.
+};
+
+/// @brief Bounds on what callers may send and hold.
+struct LimitSettings
+{
+  std::uint64_t body_bytes = 64ULL << 20U;
+  std::uint64_t buffer_bytes = 256ULL << 10U; ///< Held for each direction.
+  std::uint32_t in_flight = 2000;             ///< Requests in one daemon.
+  std::uint32_t queue_per_account = 64;       ///< Requests waiting.
+  std::uint32_t connections = 4000;           ///< From callers.
+  Milliseconds idle{ 30000 };                 ///< Silent caller connection.
+  Milliseconds dedup_window{ 600000 };        ///< Life of an idempotency key.
+};
+
+/// @brief Names of the plug-ins that decide.
+struct PolicySettings
+{
+  std::string balancer = "two-choices";
+  std::string ejector = "peer-comparison";
+  std::string retry = "budget";
+  std::string queue = "fair";
+};
+
+/// @brief Everything that one daemon learns from its settings file.
+struct EntrySettings
+{
+  std::string host;
+  std::string data_centre;
+  ListenSettings listen;
+  PlatformSettings platform;
+  std::vector<std::string> seeds; ///< Peer addresses, "ip:port".
+  std::string fleet_secret;
+  std::string operator_digest; ///< Digest of the operators' credential.
+  std::string static_fleet;    ///< File used in place of the platform.
+  std::string log;             ///< Empty for standard output.
+  Milliseconds drain{ 30000 }; ///< Longest planned stop.
+  LimitSettings limits;
+  PolicySettings policies;
+};
+
+/// @brief Reads and checks a daemon's whole settings file.
+/// @param aFile Path of a YAML file.
+/// @throws ConfigError with file, line, column, field and what was expected.
+EntrySettings
+LoadEntrySettings(const std::string& aFile);
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_CONFIG_SETTINGS_H
--- /dev/null
+++ b/include/sapphirelane/proxy/service_state.h
@@ -0,0 +1,113 @@
+#ifndef SAPPHIRELANE_PROXY_SERVICE_STATE_H
+#define SAPPHIRELANE_PROXY_SERVICE_STATE_H
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sapphirelane/config/fleet.h"
+#include "sapphirelane/membership/fleet_control.h"
+#include "sapphirelane/routing/balancer.h"
+#include "sapphirelane/routing/ejector.h"
+
+namespace sapphirelane {
+
+/// @brief How one attempt is placed.
+struct Placement
+{
+  std::string endpoint;
+  std::string address;
+  bool trial = false; ///< The endpoint is ejected and gets a trial.
+  std::string reason; ///< For the log.
+};
+
+/// @brief What a daemon knows of one service: endpoints, health and load.
+class ServiceState
+{
+public:
+  ServiceState(std::unique_ptr<Balancer> aBalancer,
+               std::unique_ptr<Ejector> aEjector,
+               std::uint32_t aPool);
+
+  /// @brief Takes over the service's endpoints of a configuration.
+  /// @param aRank Place of this host among aHosts entry hosts.
+  void Load(const FleetConfig& aConfig,
+            const std::string& aService,
+            std::size_t aRank,
+            std::size_t aHosts,
+            TimePoint aNow);
+
+  /// @brief Chooses an endpoint that has a slot free.
+  /// @param aMayTry The request may serve as a trial of an ejected endpoint.
+  /// @param aAvoid Endpoints that the request was sent to before.
+  std::optional<Placement> Place(bool aMayTry,
+                                 const std::vector<std::string>& aAvoid,
+                                 TimePoint aNow,
+                                 Random& aRandom);
+
+  /// @brief Number of attempts that Place could find room for now.
+  std::size_t FreeSlots() const;
+
+  /// @brief Notes an attempt's start and end.
+  void Begin(const std::string& aEndpoint);
+  void End(const std::string& aEndpoint);
+
+  /// @brief Notes a load report.
+  void Report(const std::string& aEndpoint, double aLoad, TimePoint aNow);
+
+  /// @brief Notes the result of work.
+  void Observe(const std::string& aEndpoint,
+               const Observation& aObservation,
+               TimePoint aNow);
+
+  /// @brief Takes in what other daemons saw.
+  void ObserveFleet(const FleetEvidence& aEvidence, TimePoint aNow);
+
+  /// @brief Judges the endpoints anew.
+  std::vector<EjectionChange> Judge(TimePoint aNow);
+
+  /// @brief Takes the evidence gathered since the last call.
+  /// @return Evidence, or nothing if no work went badly.
+  std::optional<FleetEvidence> TakeEvidence(TimePoint aNow);
+
+  Duration StallAfter(TimePoint aNow) const;
+
+  /// @brief Time after which a second attempt of safe work may start.
+  Duration HedgeAfter() const;
+
+  /// @brief Number of endpoints out of choice by ejection.
+  std::size_t Ejected() const;
+
+private:
+  struct EndpointState
+  {
+    Endpoint endpoint;
+    std::uint32_t in_flight = 0;
+    double load = 0;
+    TimePoint load_time{};
+    Duration latency{ 0 };
+    TimePoint latency_time{};
+    TimePoint since{};
+    bool in_subset = true;
+    bool trial_running = false;
+    EndpointEvidence evidence;
+  };
+
+  bool HasRoom(const EndpointState& aState) const;
+  bool MayChoose(const EndpointState& aState) const;
+  Candidate CandidateOf(const EndpointState& aState, TimePoint aNow) const;
+
+  std::unique_ptr<Balancer> m_balancer;
+  std::unique_ptr<Ejector> m_ejector;
+  std::uint32_t m_pool;
+  std::string m_service;
+  std::uint32_t m_floor = 0;
+  std::map<std::string, EndpointState> m_endpoints;
+  bool m_badEvidence = false;
+};
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_PROXY_SERVICE_STATE_H
--- /dev/null
+++ b/include/sapphirelane/routing/balancer.h
@@ -0,0 +1,64 @@
+#ifndef SAPPHIRELANE_ROUTING_BALANCER_H
+#define SAPPHIRELANE_ROUTING_BALANCER_H
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sapphirelane/base/registry.h"
+#include "sapphirelane/base/time.h"
+#include "sapphirelane/routing/random.h"
+
+namespace sapphirelane {
+
+/// @brief What a daemon knows of an endpoint that may be chosen.
+struct Candidate
+{
+  std::string id;
+  std::uint32_t slots = 1;
+  std::uint32_t in_flight = 0;  ///< Requests of this daemon.
+  double reported_load = 0;     ///< Share of slots in use, as reported.
+  Duration report_age{ 0 };     ///< Age of the report.
+  Duration latency{ 0 };        ///< Smoothed time to the first byte.
+  Duration in_service_for{ 0 }; ///< Since the endpoint became eligible.
+};
+
+/// @brief Chooses the endpoint of one attempt.
+class Balancer
+{
+public:
+  static constexpr const char* kKind = "balancer";
+
+  virtual ~Balancer() = default;
+
+  /// @param aCandidates Endpoints that may get work; may be empty.
+  /// @return Index of the chosen candidate, or nothing if there is none.
+  virtual std::optional<std::size_t> Pick(
+    const std::vector<Candidate>& aCandidates,
+    TimePoint aNow,
+    Random& aRandom) = 0;
+};
+
+using BalancerRegistry = Registry<Balancer>;
+
+/// @brief Options of the two-choices balancer.
+struct TwoChoicesOptions
+{
+  Duration report_half_life = Milliseconds(500); ///< Weight of old reports.
+  Duration slow_start = Milliseconds(10000);     ///< Ramp of a new endpoint.
+  double least_start_share = 0.1; ///< Weight at the start of the ramp.
+};
+
+/// @brief Draws two candidates at random and takes the less loaded.
+std::unique_ptr<Balancer>
+MakeTwoChoices(TwoChoicesOptions aOptions);
+
+/// @brief Takes the candidates in turn; a baseline.
+std::unique_ptr<Balancer>
+MakeRoundRobin();
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_ROUTING_BALANCER_H
--- /dev/null
+++ b/include/sapphirelane/routing/ejector.h
@@ -0,0 +1,139 @@
+#ifndef SAPPHIRELANE_ROUTING_EJECTOR_H
+#define SAPPHIRELANE_ROUTING_EJECTOR_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sapphirelane/base/registry.h"
+#include "sapphirelane/base/time.h"
+
+namespace sapphirelane {
+
+/// @brief What one piece of work told of an endpoint.
+enum class WorkResult
+{
+  Answered, ///< The first byte of an answer came.
+  Stalled,  ///< No first byte within the time expected of the service.
+  Failed,   ///< Connection refused, reset or broken off.
+  ProbeOk,  ///< A health probe was answered; real work it is not.
+};
+
+/// @brief Number of pieces of work with one result.
+struct Observation
+{
+  WorkResult result = WorkResult::Answered;
+  Duration elapsed{ 0 };   ///< Time to the first byte, or waited so far.
+  std::uint32_t count = 1; ///< More than one when a peer reports a sum.
+};
+
+/// @brief One endpoint of the service that is judged.
+struct JudgedEndpoint
+{
+  std::string id;
+  std::uint32_t slots = 1;
+  bool available = true;        ///< False while leaving.
+  Duration in_service_for{ 0 }; ///< A cold start is judged with patience.
+};
+
+/// @brief One endpoint put out of choice or back.
+struct EjectionChange
+{
+  std::string endpoint;
+  bool ejected = false;
+  std::string reason;
+};
+
+/// @brief Judges the endpoints of one service from work done on them.
+class Ejector
+{
+public:
+  static constexpr const char* kKind = "ejector";
+
+  virtual ~Ejector() = default;
+
+  /// @brief Takes in evidence about an endpoint.
+  virtual void Observe(const std::string& aEndpoint,
+                       const Observation& aObservation,
+                       TimePoint aNow) = 0;
+
+  /// @brief Decides anew which endpoints are out of choice.
+  /// @param aFloor Percent of slots that must stay in choice.
+  /// @return What changed since the last call.
+  virtual std::vector<EjectionChange> Judge(
+    const std::vector<JudgedEndpoint>& aEndpoints,
+    std::uint32_t aFloor,
+    TimePoint aNow) = 0;
+
+  /// @brief Tells whether an endpoint is out of choice.
+  virtual bool IsEjected(const std::string& aEndpoint) const = 0;
+
+  /// @brief Tells whether an ejected endpoint may get one trial of safe work.
+  virtual bool WantsTrial(const std::string& aEndpoint,
+                          TimePoint aNow) const = 0;
+
+  /// @brief Time after which work on this service counts as stalled.
+  virtual Duration StallAfter(TimePoint aNow) const = 0;
+};
+
+using EjectorRegistry = Registry<Ejector>;
+
+/// @brief Options of the peer-comparison ejector.
+struct PeerComparisonOptions
+{
+  Duration window = Milliseconds(2000); ///< Evidence older than this fades.
+  double bad_share = 0.5;  ///< Share of bad results that makes a suspect.
+  double least_bad = 3;    ///< Bad results needed in the window.
+  double contrast = 3;     ///< Times worse than the rest of the service.
+  double stall_factor = 8; ///< Stall threshold in service latencies.
+  Duration least_stall = Milliseconds(200);
+  Duration most_stall = Milliseconds(2000);
+  Duration first_ejection = Milliseconds(5000);
+  Duration longest_ejection = Milliseconds(300000);
+  Duration cold_start = Milliseconds(10000); ///< Stalls forgiven this long.
+  Duration memory = Milliseconds(600000);    ///< Good time that clears history.
+  std::uint32_t trials = 3; ///< Good trials in a row that end an ejection.
+  Duration trial_gap = Milliseconds(500); ///< Between two trials.
+};
+
+/// @brief Compares an endpoint's real work with the rest of its service.
+///
+/// An endpoint is a suspect when most of its recent work stalled or failed,
+/// and that is several times worse than the other endpoints together, so that
+/// a fault of the whole service ejects nobody. Each new ejection of the same
+/// endpoint lasts twice as long, and ends only after good trials.
+std::unique_ptr<Ejector>
+MakePeerComparison(PeerComparisonOptions aOptions);
+
+/// @brief Options of the consecutive-failures ejector.
+struct ConsecutiveFailuresOptions
+{
+  std::uint32_t failures = 5;
+  Duration ejection = Milliseconds(30000);
+  Duration stall = Milliseconds(1000);
+};
+
+/// @brief Ejects after failures in a row, for a fixed time; a baseline.
+std::unique_ptr<Ejector>
+MakeConsecutiveFailures(ConsecutiveFailuresOptions aOptions);
+
+/// @brief Options of the fixed-latency ejector.
+struct FixedLatencyOptions
+{
+  Duration threshold = Milliseconds(100);
+  std::uint32_t slow_in_a_row = 5;
+  Duration ejection = Milliseconds(5000);
+};
+
+/// @brief Ejects after slow answers in a row; a baseline.
+std::unique_ptr<Ejector>
+MakeFixedLatency(FixedLatencyOptions aOptions);
+
+/// @brief Believes probes alone, so never ejects what answers them; baseline.
+std::unique_ptr<Ejector>
+MakeProbeOnly();
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_ROUTING_EJECTOR_H
--- /dev/null
+++ b/include/sapphirelane/routing/subset.h
@@ -0,0 +1,37 @@
+#ifndef SAPPHIRELANE_ROUTING_SUBSET_H
+#define SAPPHIRELANE_ROUTING_SUBSET_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sapphirelane {
+
+/// @brief Size of the subset that keeps an endpoint's connections in bounds.
+/// @param aEndpoints Endpoints of the service.
+/// @param aHosts Entry hosts in service.
+/// @param aConnections Connections that one endpoint accepts.
+/// @param aPool Connections that one host keeps to one endpoint.
+/// @return Number of endpoints for each host, at least 1.
+std::size_t
+SubsetSize(std::size_t aEndpoints,
+           std::size_t aHosts,
+           std::size_t aConnections,
+           std::size_t aPool);
+
+/// @brief Chooses a host's endpoints so that all hosts load them evenly.
+///
+/// Hosts are dealt out in rounds. In each round every endpoint is handed to
+/// the same number of hosts, in an order shuffled by the round.
+///
+/// @param aEndpoints Endpoint ids in the same order on every host.
+/// @param aHostRank The host's place in the ordered list of hosts.
+/// @param aSize Endpoints wanted.
+std::vector<std::string>
+ChooseSubset(const std::vector<std::string>& aEndpoints,
+             std::size_t aHostRank,
+             std::size_t aSize);
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_ROUTING_SUBSET_H
--- /dev/null
+++ b/src/sapphirelane/base/easylogging.cpp
@@ -0,0 +1,2 @@
+// The logging library ships as one source file that each project compiles.
+#include <easylogging++.cc> // NOLINT(bugprone-suspicious-include)
--- /dev/null
+++ b/src/sapphirelane/claims/claim_table.cpp
@@ -0,0 +1,126 @@
+#include "sapphirelane/claims/claim_table.h"
+
+namespace sapphirelane {
+
+ClaimTable::ClaimTable(Duration aWindow)
+  : m_window(aWindow)
+{
+}
+
+ClaimReply
+ClaimTable::Ask(const Claim& aClaim, TimePoint aNow)
+{
+  auto found = m_claims.find(aClaim.id);
+  const bool isFree = found == m_claims.end() ||
+                      aNow - found->second.made > m_window ||
+                      (found->second.state == ClaimState::Released &&
+                       found->second.ask != aClaim.ask);
+  if (isFree) {
+    Claim claim = aClaim;
+    claim.state = ClaimState::Running;
+    claim.made = aNow;
+    m_claims[claim.id] = claim;
+    return { ClaimVerdict::Granted };
+  }
+  const Claim& held = found->second;
+  if (held.ask == aClaim.ask && held.state == ClaimState::Running) {
+    return { ClaimVerdict::Granted };
+  }
+  if (held.fingerprint != aClaim.fingerprint) {
+    return { ClaimVerdict::Mismatch };
+  }
+  return { ClaimVerdict::Repeat, held.state, held.answer };
+}
+
+void
+ClaimTable::Finish(const std::string& aId,
+                   std::uint64_t aAsk,
+                   ClaimState aState,
+                   const KeptAnswer& aAnswer)
+{
+  auto found = m_claims.find(aId);
+  if (found == m_claims.end() || found->second.ask != aAsk) {
+    return;
+  }
+  if (found->second.state < aState) {
+    found->second.state = aState;
+    found->second.answer = aAnswer;
+  }
+}
+
+void
+ClaimTable::Release(const std::string& aId, std::uint64_t aAsk)
+{
+  auto found = m_claims.find(aId);
+  if (found == m_claims.end() || found->second.ask != aAsk) {
+    return;
+  }
+  if (found->second.state == ClaimState::Running) {
+    found->second.state = ClaimState::Released;
+  }
+}
+
+void
+ClaimTable::Merge(const Claim& aClaim)
+{
+  auto [found, isNew] = m_claims.try_emplace(aClaim.id, aClaim);
+  if (isNew) {
+    return;
+  }
+  Claim& held = found->second;
+  if (held.ask == aClaim.ask) {
+    // The claimant's release is the last word on its own running claim.
+    const bool released =
+      aClaim.state == ClaimState::Released && held.state == ClaimState::Running;
+    if (released ||
+        (held.state < aClaim.state && held.state != ClaimState::Released)) {
+      held.state = aClaim.state;
+      held.answer = aClaim.answer;
+    }
+    return;
+  }
+  if (held.state < aClaim.state) {
+    held = aClaim;
+  }
+}
+
+std::vector<Claim>
+ClaimTable::Select(const std::function<bool(const Claim&)>& aPredicate) const
+{
+  std::vector<Claim> selected;
+  for (const auto& entry : m_claims) {
+    if (aPredicate(entry.second)) {
+      selected.push_back(entry.second);
+    }
+  }
+  return selected;
+}
+
+const Claim*
+ClaimTable::Find(const std::string& aId) const
+{
+  auto found = m_claims.find(aId);
+  return found == m_claims.end() ? nullptr : &found->second;
+}
+
+void
+ClaimTable::LoseClaimant(std::uint64_t aClaimant)
+{
+  for (auto& entry : m_claims) {
+    Claim& claim = entry.second;
+    if (claim.claimant == aClaimant && claim.state == ClaimState::Running) {
+      claim.state = ClaimState::Unknown;
+    }
+  }
+}
+
+void
+ClaimTable::Expire(TimePoint aNow)
+{
+  for (auto it = m_claims.begin(); it != m_claims.end();) {
+    const bool old = aNow - it->second.made > m_window;
+    it = old ? m_claims.erase(it) : std::next(it);
+  }
+}
+
+} // namespace sapphirelane
--- /dev/null
+++ b/src/sapphirelane/config/settings.cpp
@@ -0,0 +1,120 @@
+#include "sapphirelane/config/settings.h"
+
+#include <arpa/inet.h>
+
+#include "sapphirelane/config/fleet.h"
+#include "sapphirelane/config/yaml_reader.h"
+
+namespace sapphirelane {
+
+namespace {
+
+constexpr std::uint64_t kLowestPort = 1;
+constexpr std::uint64_t kHighestPort = 65535;
+constexpr std::uint64_t kMostBodyBytes = 1ULL << 40U;
+constexpr std::uint64_t kLeastBufferBytes = 4096;
+constexpr std::uint64_t kMostBufferBytes = 16ULL << 20U;
+constexpr std::uint64_t kMostRequests = 1000000;
+constexpr std::size_t kLeastSecretLength = 16;
+constexpr std::size_t kDigestLength = 64;
+constexpr Milliseconds kOneHour{ 3600000 };
+constexpr Milliseconds kOneDay{ 86400000 };
+
+void
+ReadIp(YamlReader& aReader, const std::string& aField, std::string& aValue)
+{
+  aReader.Read(aField, aValue);
+  in_addr parsed{};
+  if (inet_pton(AF_INET, aValue.c_str(), &parsed) != 1) {
+    aReader.Refuse(aField, "a numeric IPv4 address");
+  }
+}
+
+void
+ReadListen(YamlReader aReader, ListenSettings& aListen)
+{
+  ReadIp(aReader, "address", aListen.address);
+  ReadIp(aReader, "operator_address", aListen.operator_address);
+  aReader.Read("callers", aListen.callers, kLowestPort, kHighestPort);
+  aReader.Read("peers", aListen.peers, kLowestPort, kHighestPort);
+  aReader.Read("operators", aListen.operators, kLowestPort, kHighestPort);
+  aReader.Finish();
+}
+
+void
+ReadPlatform(YamlReader aReader, PlatformSettings& aPlatform)
+{
+  aReader.Read("adapter", aPlatform.adapter);
+  aReader.Read("address", aPlatform.address);
+  if (aPlatform.adapter != "none" && !IsAddress(aPlatform.address)) {
+    aReader.Refuse("address", "ip:port");
+  }
+  aReader.Read(
+    "timeout_ms", aPlatform.timeout, Milliseconds(10), Milliseconds(60000));
+  aReader.Finish();
+}
+
+void
+ReadLimits(YamlReader aReader, LimitSettings& aLimits)
+{
+  aReader.Read("body_bytes", aLimits.body_bytes, 0, kMostBodyBytes);
+  aReader.Read(
+    "buffer_bytes", aLimits.buffer_bytes, kLeastBufferBytes, kMostBufferBytes);
+  aReader.Read("in_flight", aLimits.in_flight, 1, kMostRequests);
+  aReader.Read(
+    "queue_per_account", aLimits.queue_per_account, 1, kMostRequests);
+  aReader.Read("connections", aLimits.connections, 1, kMostRequests);
+  aReader.Read("idle_ms", aLimits.idle, Milliseconds(1000), kOneHour);
+  aReader.Read(
+    "dedup_window_ms", aLimits.dedup_window, Milliseconds(1000), kOneDay);
+  aReader.Finish();
+}
+
+void
+ReadPolicies(YamlReader aReader, PolicySettings& aPolicies)
+{
+  aReader.Read("balancer", aPolicies.balancer);
+  aReader.Read("ejector", aPolicies.ejector);
+  aReader.Read("retry", aPolicies.retry);
+  aReader.Read("queue", aPolicies.queue);
+  aReader.Finish();
+}
+
+} // namespace
+
+EntrySettings
+LoadEntrySettings(const std::string& aFile)
+{
+  YamlReader reader = YamlReader::OpenFile(aFile);
+  EntrySettings settings;
+  settings.host = reader.Required("host");
+  settings.data_centre = reader.Required("data_centre");
+  ReadListen(reader.Map("listen"), settings.listen);
+  reader.Read("static_fleet", settings.static_fleet);
+  if (!settings.static_fleet.empty()) {
+    settings.platform.adapter = "none";
+  }
+  ReadPlatform(reader.Map("platform"), settings.platform);
+  settings.seeds = reader.TextList("seeds");
+  for (const std::string& seed : settings.seeds) {
+    if (!IsAddress(seed)) {
+      reader.Refuse("seeds", "a list of ip:port");
+    }
+  }
+  settings.fleet_secret = reader.Required("fleet_secret");
+  if (settings.fleet_secret.size() < kLeastSecretLength) {
+    reader.Refuse("fleet_secret", "at least 16 characters");
+  }
+  settings.operator_digest = reader.Required("operator_digest");
+  if (settings.operator_digest.size() != kDigestLength) {
+    reader.Refuse("operator_digest", "64 hexadecimal digits");
+  }
+  reader.Read("log", settings.log);
+  reader.Read("drain_ms", settings.drain, Milliseconds(0), kOneHour);
+  ReadLimits(reader.Map("limits"), settings.limits);
+  ReadPolicies(reader.Map("policies"), settings.policies);
+  reader.Finish();
+  return settings;
+}
+
+} // namespace sapphirelane
--- /dev/null
+++ b/src/sapphirelane/programs/entry.cpp
@@ -0,0 +1,96 @@
+/// The daemon of one entry host.
+#include <csignal>
+#include <iostream>
+
+#include <boost/program_options.hpp>
+#include <curl/curl.h>
+
+#include "sapphirelane/base/error.h"
+#include "sapphirelane/base/log.h"
+#include "sapphirelane/base/secret.h"
+#include "sapphirelane/proxy/entry_app.h"
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+constexpr int kExitCutOff = 4;
+
+int
+Serve(const sapphirelane::EntrySettings& aSettings)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  auto app = sapphirelane::MakeEntryApp(aSettings);
+  app->Start();
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return app->StopPlanned() ? kExitOk : kExitCutOff;
+}
+
+int
+Run(int aCount, char** aArguments)
+{
+  po::options_description options(
+    "sapphirelane-entry: serves callers on one entry host.\n"
+    "Exit codes: 0 stopped as planned, 1 failed, 2 usage, 3 settings,\n"
+    "4 requests were cut off at the drain limit.\nOptions");
+  options.add_options()("help,h", "show this text")("version",
+                                                    "show the version")(
+    "settings,s", po::value<std::string>(), "settings file (YAML)")(
+    "check", "check the settings and stop");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aCount, aArguments, options), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << "sapphirelane-entry: " << error.what() << "\n";
+    return kExitUsage;
+  }
+  if (values.count("help") != 0) {
+    std::cout << options;
+    return kExitOk;
+  }
+  if (values.count("version") != 0) {
+    std::cout << "sapphirelane-entry " << SAPPHIRELANE_VERSION << "\n";
+    return kExitOk;
+  }
+  if (values.count("settings") == 0) {
+    std::cerr << "sapphirelane-entry: --settings is missing\n";
+    return kExitUsage;
+  }
+  sapphirelane::StartSecrets();
+  const auto settings =
+    sapphirelane::LoadEntrySettings(values["settings"].as<std::string>());
+  if (values.count("check") != 0) {
+    std::cout << "settings are sound\n";
+    return kExitOk;
+  }
+  sapphirelane::OpenLog(settings.log);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  return Serve(settings);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return Run(aCount, aArguments);
+  } catch (const sapphirelane::ConfigError& error) {
+    std::cerr << "sapphirelane-entry: " << error.what() << "\n";
+    return kExitSettings;
+  } catch (const std::exception& error) {
+    std::cerr << "sapphirelane-entry: " << error.what() << "\n";
+    return kExitFailed;
+  }
+}
--- /dev/null
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -0,0 +1,1060 @@
+#include "sapphirelane/proxy/dispatcher.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+#include "sapphirelane/admission/request_queue.h"
+#include "sapphirelane/base/hash.h"
+#include "sapphirelane/base/log.h"
+#include "sapphirelane/proxy/pending_request.h"
+#include "sapphirelane/proxy/refusal.h"
+#include "sapphirelane/proxy/request_history.h"
+#include "sapphirelane/proxy/service_state.h"
+#include "sapphirelane/routing/retry_policy.h"
+
+namespace sapphirelane {
+
+namespace {
+
+/// How often a repeat of a running claim asks for its answer.
+constexpr Milliseconds kClaimPoll{ 50 };
+
+/// Longest time between a decision to send and the first byte.
+constexpr Milliseconds kSendWithin{ 1000 };
+
+/// Longest time that an attempt's end may come after its deadline.
+constexpr Milliseconds kEndWithin{ 1000 };
+
+constexpr int kServerError = 500;
+constexpr int kStatusShed = 503;
+
+/// Extra attempts that hedging may add, as a share of requests.
+constexpr double kHedgeShare = 0.04;
+
+RetryBudgetOptions
+HedgeOptions()
+{
+  RetryBudgetOptions options;
+  options.share = kHedgeShare;
+  return options;
+}
+
+std::string
+Quoted(const std::string& aText)
+{
+  return "\"" + aText + "\"";
+}
+
+class RequestDispatcher : public Dispatcher
+{
+public:
+  RequestDispatcher(DispatcherOptions aOptions,
+                    FleetControl& aControl,
+                    UpstreamIo& aUpstreams,
+                    Metrics& aMetrics)
+    : m_options(std::move(aOptions))
+    , m_control(aControl)
+    , m_upstreams(aUpstreams)
+    , m_metrics(aMetrics)
+    , m_random(m_options.seed)
+    , m_nextAttempt(m_options.first_id)
+    , m_retry(RetryRegistry::Make(m_options.policies.retry))
+    , m_hedge(MakeRetryBudget(HedgeOptions()))
+  {
+  }
+
+  void OnRequest(ExchangePtr aExchange, TimePoint aNow) override
+  {
+    const std::uint64_t id = aExchange->Head().id;
+    PendingRequest request;
+    request.exchange = std::move(aExchange);
+    request.head = CheckHead(request.exchange->Head());
+    auto refusal = Admit(request, aNow);
+    if (refusal) {
+      RefuseUnheld(request, *refusal);
+      return;
+    }
+    const std::string service = request.service;
+    PendingRequest& held = m_requests[id] = std::move(request);
+    if (held.account.empty()) {
+      Enqueue(id, held, aNow);
+    } else {
+      held.token = m_control.AskToken(held.account, held.deadline, aNow);
+      m_asks[held.token] = id;
+    }
+    TakeControlEvents(aNow);
+    Serve(service, aNow);
+  }
+
+  void OnAttempt(const AttemptEvent& aEvent, TimePoint aNow) override
+  {
+    auto found = m_attempts.find(aEvent.id);
+    if (found == m_attempts.end()) {
+      return;
+    }
+    const std::uint64_t id = found->second;
+    auto held = m_requests.find(id);
+    if (held == m_requests.end()) {
+      return;
+    }
+    const std::string service = held->second.service;
+    if (aEvent.kind == AttemptEvent::Kind::Head) {
+      OnHead(id, held->second, aEvent, aNow);
+    } else {
+      OnEnd(id, held->second, aEvent, aNow);
+    }
+    Serve(service, aNow);
+  }
+
+  void OnEvents(TimePoint aNow) override { TakeControlEvents(aNow); }
+
+  void OnTick(TimePoint aNow) override
+  {
+    LoadConfig(aNow);
+    TakeControlEvents(aNow);
+    CheckRequests(aNow);
+    for (auto& [name, service] : m_services) {
+      Judge(name, service, aNow);
+      Serve(name, aNow);
+    }
+    m_metrics.Set(
+      "requests_in_flight", {}, static_cast<double>(m_requests.size()));
+  }
+
+  void Drain() override { m_draining = true; }
+
+  std::size_t InFlight() const override { return m_requests.size(); }
+
+  std::string Explain(std::uint64_t aRequest) const override
+  {
+    return m_history.Lines(aRequest);
+  }
+
+private:
+  struct Service
+  {
+    std::unique_ptr<ServiceState> state;
+    std::unique_ptr<RequestQueue> queue;
+    std::size_t reserved = 0; ///< Slots of requests that await their claim.
+    bool has_safe_route = false;
+    TimePoint shared{};
+  };
+
+  // Admission.
+
+  /// Checks a new request and fills in its route, account and deadline.
+  std::optional<Refusal> Admit(PendingRequest& aRequest, TimePoint aNow)
+  {
+    LoadConfig(aNow);
+    const CheckedHead& head = aRequest.head;
+    if (!head.fault.empty()) {
+      return Refusal{ 400, Outcome::NotRun, "malformed", head.fault };
+    }
+    if (m_draining) {
+      return Refusal{
+        503, Outcome::NotRun, "stopping", "this host is being stopped"
+      };
+    }
+    if (m_requests.size() >= m_options.limits.in_flight) {
+      return Refusal{ 503, Outcome::NotRun, "busy", "this host is full" };
+    }
+    const FleetConfig* config = m_control.Config();
+    if (config == nullptr) {
+      return Refusal{ 503,
+                      Outcome::NotRun,
+                      "no-configuration",
+                      "this host has no configuration yet" };
+    }
+    const Route* route = FindRoute(*config, head.path);
+    if (route == nullptr) {
+      return Refusal{ 404, Outcome::NotRun, "no-route", "no route matches" };
+    }
+    aRequest.route = *route;
+    aRequest.service = route->service;
+    const Milliseconds patience =
+      std::min(route->timeout, head.deadline.value_or(route->timeout));
+    aRequest.deadline = aRequest.exchange->Head().arrived + patience;
+    if (head.length.value_or(0) > m_options.limits.body_bytes) {
+      return Refusal{
+        413, Outcome::NotRun, "too-large", "the body is above the limit"
+      };
+    }
+    const bool needsKey = route->mode == RouteMode::RunOnce;
+    if (needsKey && head.idempotency.empty()) {
+      return Refusal{ 400,
+                      Outcome::NotRun,
+                      "no-idempotency-key",
+                      "this route requires an Idempotency-Key" };
+    }
+    return route->open ? std::nullopt : Authorize(aRequest, aNow);
+  }
+
+  /// Checks the key of a request as it stands now.
+  std::optional<Refusal> Authorize(PendingRequest& aRequest, TimePoint aNow)
+  {
+    if (!m_control.IsFresh(aNow)) {
+      return Refusal{ 503,
+                      Outcome::NotRun,
+                      "not-fresh",
+                      "this host cannot tell whether its configuration is "
+                      "the newest" };
+    }
+    const auto key = m_control.Keys().Find(aRequest.head.key_digest);
+    if (!key) {
+      return Refusal{
+        401, Outcome::NotRun, "no-key", "no key, or one not in force"
+      };
+    }
+    const auto& callers = aRequest.route.callers;
+    const bool allowed =
+      callers.empty() ||
+      std::find(callers.begin(), callers.end(), key->account) != callers.end();
+    if (!allowed) {
+      return Refusal{ 403,
+                      Outcome::NotRun,
+                      "not-allowed",
+                      "the account may not call this route" };
+    }
+    aRequest.account = key->account;
+    return std::nullopt;
+  }
+
+  // Fleet answers.
+
+  void TakeControlEvents(TimePoint aNow)
+  {
+    // An event may lead to a question that is answered at once.
+    auto events = m_control.TakeEvents();
+    while (!events.empty()) {
+      for (const ControlEvent& event : events) {
+        std::visit([&](const auto& aOne) { OnControl(aOne, aNow); }, event);
+      }
+      events = m_control.TakeEvents();
+    }
+  }
+
+  void OnControl(const TokenResult& aResult, TimePoint aNow)
+  {
+    auto held = TakeAsk(aResult.ask);
+    if (held == m_requests.end()) {
+      if (aResult.verdict == TokenVerdict::Granted) {
+        m_control.ReturnToken(aResult.ask, aNow);
+      }
+      return;
+    }
+    const std::uint64_t id = held->first;
+    PendingRequest& request = held->second;
+    if (aResult.verdict == TokenVerdict::Refused) {
+      RefuseHeld(id,
+                 { 429,
+                   Outcome::NotRun,
+                   "rate",
+                   "the account is past its rate and burst",
+                   aResult.retry_after },
+                 aNow);
+      return;
+    }
+    if (aResult.verdict == TokenVerdict::Unavailable) {
+      RefuseHeld(id,
+                 { 503,
+                   Outcome::NotRun,
+                   "limit-unavailable",
+                   "the holder of the account's budget cannot be asked" },
+                 aNow);
+      return;
+    }
+    const std::string service = request.service;
+    request.token_until = aResult.valid_until;
+    Enqueue(id, request, aNow);
+    Serve(service, aNow);
+  }
+
+  void OnControl(const ClaimResult& aResult, TimePoint aNow)
+  {
+    auto held = TakeAsk(aResult.ask);
+    if (held == m_requests.end()) {
+      if (aResult.reply.verdict == ClaimVerdict::Granted) {
+        m_control.ReleaseClaim(aResult.ask, aNow);
+      }
+      return;
+    }
+    const std::uint64_t id = held->first;
+    PendingRequest& request = held->second;
+    Unreserve(request);
+    switch (aResult.reply.verdict) {
+      case ClaimVerdict::Granted:
+        request.claimed = true;
+        Send(id, request, aNow);
+        return;
+      case ClaimVerdict::Repeat:
+        OnRepeat(id, request, aResult.reply, aNow);
+        return;
+      case ClaimVerdict::Mismatch:
+        RefuseHeld(id,
+                   { 422,
+                     Outcome::NotRun,
+                     "key-reused",
+                     "the idempotency key came with another request" },
+                   aNow);
+        return;
+      case ClaimVerdict::NotReady:
+        break;
+    }
+    RefuseHeld(id,
+               { 503,
+                 Outcome::NotRun,
+                 "claim-unavailable",
+                 "nobody can tell now whether the request ran before" },
+               aNow);
+  }
+
+  void OnControl(const FleetEvidence& aEvidence, TimePoint aNow)
+  {
+    auto found = m_services.find(aEvidence.service);
+    if (found != m_services.end()) {
+      found->second.state->ObserveFleet(aEvidence, aNow);
+      Judge(found->first, found->second, aNow);
+    }
+  }
+
+  void OnRepeat(std::uint64_t aId,
+                PendingRequest& aRequest,
+                const ClaimReply& aReply,
+                TimePoint aNow)
+  {
+    if (aReply.state == ClaimState::Running) {
+      aRequest.claim_again = aNow + kClaimPoll;
+      return;
+    }
+    if (aReply.state == ClaimState::Done && aReply.answer.kept) {
+      ResponseHead head;
+      head.status = aReply.answer.status;
+      head.headers = { { kRequestIdHeader, std::to_string(aId) },
+                       { kRepeatHeader, "true" } };
+      if (!aReply.answer.content_type.empty()) {
+        head.headers.emplace_back("Content-Type", aReply.answer.content_type);
+      }
+      aRequest.exchange->AnswerWhole(head, aReply.answer.body);
+      Log(aId, "claim", "is a repeat and gets the first answer");
+      m_metrics.Count("repeats_total", { { "answer", "replayed" } });
+      Finish(aId, aNow);
+      return;
+    }
+    const bool done = aReply.state == ClaimState::Done;
+    RefuseHeld(aId,
+               { 409,
+                 Outcome::Unknown,
+                 done ? "ran-before" : "outcome-unknown",
+                 done ? "it ran before and its answer was too large to keep"
+                      : "it was sent before and nobody knows its answer" },
+               aNow);
+  }
+
+  // Queue and claim.
+
+  void Enqueue(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
+  {
+    aRequest.stage = Stage::Queued;
+    Service& service = m_services.at(aRequest.service);
+    const std::string line =
+      aRequest.account.empty() ? "(open)" : aRequest.account;
+    if (!service.queue->Push({ aId, line, aRequest.deadline })) {
+      RefuseHeld(aId,
+                 { 503,
+                   Outcome::NotRun,
+                   "queue-full",
+                   "too many requests of the account wait" },
+                 aNow);
+    }
+  }
+
+  /// Serves the queue of a service while it has slots.
+  void Serve(const std::string& aService, TimePoint aNow)
+  {
+    auto found = m_services.find(aService);
+    if (found == m_services.end()) {
+      return;
+    }
+    Service& service = found->second;
+    while (service.queue->Size() > 0 &&
+           service.state->FreeSlots() > service.reserved) {
+      const auto next = service.queue->Pop(aNow);
+      if (!next) {
+        return;
+      }
+      Leave(next->id, aNow);
+    }
+  }
+
+  /// Takes a request out of the queue towards an upstream.
+  void Leave(std::uint64_t aId, TimePoint aNow)
+  {
+    auto held = m_requests.find(aId);
+    if (held == m_requests.end()) {
+      return;
+    }
+    PendingRequest& request = held->second;
+    if (!request.route.open) {
+      auto refusal = Authorize(request, aNow);
+      if (refusal) {
+        RefuseHeld(aId, *refusal, aNow);
+        return;
+      }
+      if (aNow >= request.token_until) {
+        AskTokenAgain(aId, request, aNow);
+        return;
+      }
+    }
+    if (request.route.mode == RouteMode::RunOnce) {
+      AskClaim(aId, request, aNow);
+      return;
+    }
+    Send(aId, request, aNow);
+  }
+
+  void AskTokenAgain(std::uint64_t aId,
+                     PendingRequest& aRequest,
+                     TimePoint aNow)
+  {
+    m_control.ReturnToken(aRequest.token, aNow);
+    aRequest.stage = Stage::AwaitToken;
+    aRequest.token =
+      m_control.AskToken(aRequest.account, aRequest.deadline, aNow);
+    m_asks[aRequest.token] = aId;
+    TakeControlEvents(aNow);
+  }
+
+  void Reserve(PendingRequest& aRequest)
+  {
+    if (!aRequest.reserved) {
+      aRequest.reserved = true;
+      ++m_services.at(aRequest.service).reserved;
+    }
+  }
+
+  void Unreserve(PendingRequest& aRequest)
+  {
+    if (aRequest.reserved) {
+      aRequest.reserved = false;
+      --m_services.at(aRequest.service).reserved;
+    }
+  }
+
+  void AskClaim(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
+  {
+    aRequest.stage = Stage::AwaitClaim;
+    aRequest.claim_again = TimePoint::max();
+    Reserve(aRequest);
+    Claim claim;
+    claim.id = ClaimIdOf(aRequest.account, aRequest.head.idempotency);
+    const RequestHead& head = aRequest.exchange->Head();
+    claim.fingerprint = StableHash(head.method + " " + head.target);
+    aRequest.claim = m_control.AskClaim(claim, aRequest.deadline, aNow);
+    m_asks[aRequest.claim] = aId;
+    TakeControlEvents(aNow);
+  }
+
+  // Attempts.
+
+  /// Makes an attempt; the request goes back to the queue without a slot.
+  void Send(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
+  {
+    if (!aRequest.route.open && aNow >= aRequest.token_until) {
+      GiveBackClaim(aRequest, aNow);
+      AskTokenAgain(aId, aRequest, aNow);
+      return;
+    }
+    if (aRequest.claimed && !m_control.MaySend(aRequest.claim, aNow)) {
+      GiveBackClaim(aRequest, aNow);
+      RefuseHeld(aId,
+                 { 503,
+                   Outcome::NotRun,
+                   "claim-unavailable",
+                   "the claim lapsed before the request was sent" },
+                 aNow);
+      return;
+    }
+    if (!TryAttempt(aId, aRequest, aNow)) {
+      GiveBackClaim(aRequest, aNow);
+      Enqueue(aId, aRequest, aNow);
+    }
+  }
+
+  void GiveBackClaim(PendingRequest& aRequest, TimePoint aNow)
+  {
+    if (aRequest.claimed) {
+      m_control.ReleaseClaim(aRequest.claim, aNow);
+      aRequest.claimed = false;
+    }
+  }
+
+  bool TryAttempt(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
+  {
+    Service& service = m_services.at(aRequest.service);
+    const bool safe = IsSafe(aRequest);
+    const bool mayTry = safe || !service.has_safe_route;
+    const auto placed =
+      service.state->Place(mayTry, aRequest.tried, aNow, m_random);
+    if (!placed) {
+      return false;
+    }
+    Attempt attempt;
+    attempt.id = m_nextAttempt++;
+    attempt.endpoint = placed->endpoint;
+    attempt.started = aNow;
+    attempt.trial = placed->trial;
+    service.state->Begin(placed->endpoint);
+    aRequest.attempts.push_back(attempt);
+    aRequest.tried.push_back(placed->endpoint);
+    ++aRequest.attempts_made;
+    aRequest.stage = Stage::Sending;
+    m_attempts[attempt.id] = aId;
+    if (aRequest.attempts_made == 1) {
+      m_retry->OnRequest(aNow);
+      m_hedge->OnRequest(aNow);
+    }
+    Log(aId,
+        "route",
+        "goes to " + placed->endpoint + " as attempt " +
+          std::to_string(aRequest.attempts_made) + ": " + placed->reason);
+    m_metrics.Count("attempts_total", { { "service", aRequest.service } });
+    m_upstreams.Start(OrderOf(aRequest, attempt, placed->address, aNow));
+    return true;
+  }
+
+  AttemptOrder OrderOf(const PendingRequest& aRequest,
+                       const Attempt& aAttempt,
+                       const std::string& aAddress,
+                       TimePoint aNow) const
+  {
+    const RequestHead& head = aRequest.exchange->Head();
+    AttemptOrder order;
+    order.id = aAttempt.id;
+    order.exchange = aRequest.exchange;
+    order.address = aAddress;
+    order.method = head.method;
+    order.target = head.target;
+    order.headers = aRequest.head.forward;
+    order.headers.emplace_back(kRequestIdHeader, std::to_string(head.id));
+    const auto left = ToMilliseconds(aRequest.deadline - aNow).count();
+    order.headers.emplace_back(kDeadlineHeader, std::to_string(left));
+    if (!aRequest.account.empty()) {
+      order.headers.emplace_back(kAccountHeader, aRequest.account);
+    }
+    order.has_body = aRequest.head.has_body;
+    order.length = aRequest.head.length;
+    // A request that may not be sent twice takes no connection that might
+    // have gone silent.
+    order.new_connection = !IsSafe(aRequest);
+    order.rewind = aRequest.attempts_made > 1;
+    // The token pays for the request; further attempts need no other one.
+    const bool first = aRequest.attempts_made == 1 && !aRequest.route.open;
+    order.send_before = aNow + kSendWithin;
+    if (first) {
+      order.send_before = std::min(order.send_before, aRequest.token_until);
+    }
+    order.deadline = aRequest.deadline;
+    return order;
+  }
+
+  static bool IsSafe(const PendingRequest& aRequest)
+  {
+    const std::string& method = aRequest.exchange->Head().method;
+    return aRequest.route.mode == RouteMode::Safe && !aRequest.head.has_body &&
+           (method == "GET" || method == "HEAD");
+  }
+
+  static Attempt* FindAttempt(PendingRequest& aRequest, std::uint64_t aId)
+  {
+    for (Attempt& attempt : aRequest.attempts) {
+      if (attempt.id == aId) {
+        return &attempt;
+      }
+    }
+    return nullptr;
+  }
+
+  void OnHead(std::uint64_t aId,
+              PendingRequest& aRequest,
+              const AttemptEvent& aEvent,
+              TimePoint aNow)
+  {
+    Attempt* attempt = FindAttempt(aRequest, aEvent.id);
+    if (attempt == nullptr) {
+      return;
+    }
+    attempt->headed = true;
+    ServiceState& state = *m_services.at(aRequest.service).state;
+    const std::string* load = FindHeader(aEvent.head.headers, kLoadHeader);
+    if (load != nullptr) {
+      const auto share = ParseLoad(*load);
+      if (share) {
+        state.Report(attempt->endpoint, *share, aNow);
+      }
+    }
+    const std::string* shed = FindHeader(aEvent.head.headers, kShedHeader);
+    if (aEvent.head.status == kStatusShed && shed != nullptr &&
+        *shed == "not-run") {
+      OnShed(aId, aRequest, *attempt);
+      return;
+    }
+    const bool failed = aEvent.head.status >= kServerError;
+    const Duration elapsed = aNow - attempt->started;
+    if (!attempt->stalled) {
+      state.Observe(
+        attempt->endpoint,
+        { failed ? WorkResult::Failed : WorkResult::Answered, elapsed },
+        aNow);
+    }
+    if (aRequest.stage == Stage::Answering) {
+      return;
+    }
+    if (failed && IsSafe(aRequest) && RetryInstead(aId, aRequest, aNow)) {
+      m_upstreams.Cancel(aEvent.id);
+      return;
+    }
+    PassOn(aId, aRequest, aEvent, aNow);
+  }
+
+  /// Passes an answer's head on and breaks the other attempts off.
+  void PassOn(std::uint64_t aId,
+              PendingRequest& aRequest,
+              const AttemptEvent& aEvent,
+              TimePoint aNow)
+  {
+    aRequest.stage = Stage::Answering;
+    aRequest.answer_status = aEvent.head.status;
+    const std::string* type = FindHeader(aEvent.head.headers, "content-type");
+    aRequest.answer_type = type == nullptr ? "" : *type;
+    ResponseHead head = aEvent.head;
+    head.headers = AnswerHeaders(head.headers);
+    head.headers.emplace_back(kRequestIdHeader, std::to_string(aId));
+    for (const Attempt& attempt : aRequest.attempts) {
+      if (attempt.id != aEvent.id) {
+        m_upstreams.Cancel(attempt.id);
+      }
+    }
+    m_metrics.Observe("time_to_head_seconds",
+                      { { "service", aRequest.service } },
+                      aNow - aRequest.exchange->Head().arrived);
+    aRequest.exchange->Answer(head);
+    m_upstreams.Accept(aEvent.id);
+  }
+
+  /// The upstream says that it did not run the request.
+  void OnShed(std::uint64_t aId,
+              const PendingRequest& aRequest,
+              Attempt& aAttempt)
+  {
+    aAttempt.shed = true;
+    Log(aId, "route", "was shed by " + aAttempt.endpoint);
+    m_metrics.Count("sheds_total", { { "service", aRequest.service } });
+    // The attempt must have ended before its body is read once more.
+    m_upstreams.Cancel(aAttempt.id);
+  }
+
+  /// The last running attempt ended by a shed answer.
+  void AfterShed(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
+  {
+    if (RetryInstead(aId, aRequest, aNow)) {
+      return;
+    }
+    RefuseHeld(aId,
+               { 503,
+                 aRequest.left ? Outcome::Unknown : Outcome::NotRun,
+                 "shed",
+                 "the upstream is overloaded and did not run it" },
+               aNow);
+  }
+
+  /// Makes one more attempt within the budget.
+  bool RetryInstead(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
+  {
+    const bool allowed =
+      m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow);
+    if (!allowed || !TryAttempt(aId, aRequest, aNow)) {
+      return false;
+    }
+    m_metrics.Count("retries_total", { { "service", aRequest.service } });
+    return true;
+  }
+
+  void OnEnd(std::uint64_t aId,
+             PendingRequest& aRequest,
+             const AttemptEvent& aEvent,
+             TimePoint aNow)
+  {
+    Attempt* found = FindAttempt(aRequest, aEvent.id);
+    if (found == nullptr) {
+      return;
+    }
+    const Attempt attempt = *found;
+    aRequest.attempts.erase(aRequest.attempts.begin() +
+                            (found - aRequest.attempts.data()));
+    m_attempts.erase(aEvent.id);
+    ServiceState& state = *m_services.at(aRequest.service).state;
+    state.End(attempt.endpoint);
+    const bool cancelled = aEvent.error == "cancelled";
+    aRequest.left = aRequest.left || (aEvent.sent && !cancelled);
+    if (aRequest.stage == Stage::Answering) {
+      if (!cancelled && attempt.headed) {
+        EndAnswer(aId, aRequest, aEvent, aNow);
+      }
+      return;
+    }
+    if (!aRequest.attempts.empty()) {
+      return;
+    }
+    if (attempt.shed) {
+      AfterShed(aId, aRequest, aNow);
+      return;
+    }
+    if (!aEvent.caller_fault && !cancelled) {
+      state.Observe(
+        attempt.endpoint, { WorkResult::Failed, aNow - attempt.started }, aNow);
+    }
+    OnFailure(aId, aRequest, aEvent, aNow);
+  }
+
+  /// The last running attempt failed before any answer.
+  void OnFailure(std::uint64_t aId,
+                 PendingRequest& aRequest,
+                 const AttemptEvent& aEvent,
+                 TimePoint aNow)
+  {
+    Log(aId, "route", "failed: " + aEvent.error);
+    const bool repeatable = IsSafe(aRequest) || !aRequest.left;
+    if (!aEvent.caller_fault && repeatable &&
+        RetryInstead(aId, aRequest, aNow)) {
+      return;
+    }
+    if (!aRequest.left) {
+      RefuseHeld(aId,
+                 { 503,
+                   Outcome::NotRun,
+                   aEvent.caller_fault ? "caller-left" : "unreachable",
+                   "no connection to an upstream: " + aEvent.error },
+                 aNow);
+      return;
+    }
+    const bool late = aNow >= aRequest.deadline;
+    RefuseHeld(aId,
+               { late ? 504 : 502,
+                 Outcome::Unknown,
+                 late ? "deadline" : "broken-off",
+                 "the upstream gave no answer: " + aEvent.error },
+               aNow);
+  }
+
+  /// The body of an answer that was passed on has ended.
+  void EndAnswer(std::uint64_t aId,
+                 PendingRequest& aRequest,
+                 const AttemptEvent& aEvent,
+                 TimePoint aNow)
+  {
+    if (!aEvent.whole) {
+      aRequest.exchange->UpstreamBreak();
+      Log(aId, "route", "broke off within its answer: " + aEvent.error);
+      m_metrics.Count("answers_broken_total",
+                      { { "service", aRequest.service } });
+    }
+    if (aRequest.claimed) {
+      KeptAnswer answer;
+      answer.kept = aEvent.body_kept;
+      answer.status = static_cast<std::uint16_t>(aRequest.answer_status);
+      answer.content_type = aRequest.answer_type;
+      answer.body = aEvent.kept_body;
+      m_control.FinishClaim(aRequest.claim,
+                            aEvent.whole ? ClaimState::Done
+                                         : ClaimState::Unknown,
+                            answer,
+                            aNow);
+      aRequest.claimed = false;
+    }
+    m_metrics.Count(
+      "answers_total",
+      { { "account", aRequest.account }, { "service", aRequest.service } });
+    Finish(aId, aNow);
+  }
+
+  // Time.
+
+  /// Looks for late, stalled and abandoned requests.
+  void CheckRequests(TimePoint aNow)
+  {
+    std::vector<std::uint64_t> ids;
+    ids.reserve(m_requests.size());
+    for (const auto& entry : m_requests) {
+      ids.push_back(entry.first);
+    }
+    for (std::uint64_t id : ids) {
+      auto held = m_requests.find(id);
+      if (held != m_requests.end()) {
+        CheckRequest(id, held->second, aNow);
+      }
+    }
+  }
+
+  void CheckRequest(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
+  {
+    const bool waits =
+      aRequest.stage != Stage::Sending && aRequest.stage != Stage::Answering;
+    if (waits && aNow >= aRequest.deadline) {
+      RefuseHeld(aId,
+                 { 504,
+                   Outcome::NotRun,
+                   "deadline",
+                   "the deadline passed before the request was sent" },
+                 aNow);
+      return;
+    }
+    const bool runOnce = aRequest.route.mode == RouteMode::RunOnce;
+    if (!(runOnce && !waits) && aRequest.exchange->IsCallerGone()) {
+      Abandon(aId, aRequest, aNow);
+      return;
+    }
+    if (aRequest.stage == Stage::AwaitClaim && aNow >= aRequest.claim_again) {
+      AskClaim(aId, aRequest, aNow);
+      return;
+    }
+    if (aRequest.stage == Stage::Sending) {
+      CheckStalls(aId, aRequest, aNow);
+    }
+    if (aRequest.stage == Stage::Sending &&
+        aNow >= aRequest.deadline + kEndWithin) {
+      RefuseHeld(aId,
+                 { 504,
+                   Outcome::Unknown,
+                   "deadline",
+                   "the upstream gave no answer before the deadline" },
+                 aNow);
+    }
+  }
+
+  /// Reports stalled attempts and hedges safe ones.
+  void CheckStalls(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
+  {
+    ServiceState& state = *m_services.at(aRequest.service).state;
+    Duration longest{ 0 };
+    for (Attempt& attempt : aRequest.attempts) {
+      const Duration waited = aNow - attempt.started;
+      longest = std::max(longest, waited);
+      if (!attempt.headed && !attempt.stalled &&
+          waited >= state.StallAfter(aNow)) {
+        attempt.stalled = true;
+        state.Observe(attempt.endpoint, { WorkResult::Stalled, waited }, aNow);
+      }
+    }
+    const bool trial =
+      !aRequest.attempts.empty() && aRequest.attempts.front().trial;
+    if (aRequest.hedged || !IsSafe(aRequest) || longest < state.HedgeAfter()) {
+      return;
+    }
+    const bool allowed =
+      trial ||
+      m_hedge->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow);
+    if (!allowed) {
+      return;
+    }
+    aRequest.hedged = true;
+    if (TryAttempt(aId, aRequest, aNow)) {
+      m_metrics.Count("hedges_total", { { "service", aRequest.service } });
+    }
+  }
+
+  /// The caller has gone; nothing is sent for it any more.
+  void Abandon(std::uint64_t aId,
+               const PendingRequest& aRequest,
+               TimePoint aNow)
+  {
+    m_metrics.Count("abandoned_total", { { "service", aRequest.service } });
+    Log(aId, "route", "was abandoned by its caller");
+    Finish(aId, aNow);
+  }
+
+  void Judge(const std::string& aName, Service& aService, TimePoint aNow)
+  {
+    for (const EjectionChange& change : aService.state->Judge(aNow)) {
+      LogLine("health",
+              "Endpoint " + change.endpoint + " of " + aName +
+                (change.ejected ? " is ejected: " : " is back: ") +
+                change.reason + ".");
+      m_metrics.Count("ejections_total",
+                      { { "endpoint", change.endpoint },
+                        { "change", change.ejected ? "out" : "back" } });
+    }
+    m_metrics.Set("ejected_endpoints",
+                  { { "service", aName } },
+                  static_cast<double>(aService.state->Ejected()));
+    constexpr Milliseconds kSharePeriod{ 250 };
+    if (aNow - aService.shared < kSharePeriod) {
+      return;
+    }
+    const auto evidence = aService.state->TakeEvidence(aNow);
+    if (evidence) {
+      aService.shared = aNow;
+      m_control.ShareEvidence(*evidence, aNow);
+    }
+  }
+
+  // Configuration.
+
+  void LoadConfig(TimePoint aNow)
+  {
+    const FleetConfig* config = m_control.Config();
+    const auto rank = m_control.Rank();
+    if (config == nullptr ||
+        (config->version == m_version && rank == m_rank && m_loaded)) {
+      return;
+    }
+    m_version = config->version;
+    m_rank = rank;
+    m_loaded = true;
+    for (const auto& entry : config->services) {
+      Service& service = m_services[entry.first];
+      if (!service.state) {
+        service.state = std::make_unique<ServiceState>(
+          BalancerRegistry::Make(m_options.policies.balancer),
+          EjectorRegistry::Make(m_options.policies.ejector),
+          m_options.pool);
+        service.queue = QueueRegistry::Make(m_options.policies.queue,
+                                            m_options.limits.queue_per_account);
+      }
+      service.state->Load(*config, entry.first, rank.first, rank.second, aNow);
+      service.has_safe_route = HasSafeRoute(*config, entry.first);
+    }
+    LogLine("config", "Version " + std::to_string(m_version) + " is in force.");
+    m_metrics.Set("config_version", {}, static_cast<double>(config->version));
+  }
+
+  static bool HasSafeRoute(const FleetConfig& aConfig,
+                           const std::string& aService)
+  {
+    return std::any_of(
+      aConfig.routes.begin(), aConfig.routes.end(), [&](const auto& aEntry) {
+        return aEntry.second.service == aService &&
+               aEntry.second.mode == RouteMode::Safe;
+      });
+  }
+
+  // Ends.
+
+  std::unordered_map<std::uint64_t, PendingRequest>::iterator TakeAsk(
+    AskId aAsk)
+  {
+    auto found = m_asks.find(aAsk);
+    if (found == m_asks.end()) {
+      return m_requests.end();
+    }
+    const std::uint64_t id = found->second;
+    m_asks.erase(found);
+    return m_requests.find(id);
+  }
+
+  void RefuseUnheld(PendingRequest& aRequest, const Refusal& aRefusal)
+  {
+    Refuse(*aRequest.exchange, aRefusal);
+    NoteRefusal(aRequest, aRefusal);
+  }
+
+  void RefuseHeld(std::uint64_t aId, const Refusal& aRefusal, TimePoint aNow)
+  {
+    PendingRequest& request = m_requests.at(aId);
+    if (request.claimed) {
+      if (aRefusal.outcome == Outcome::NotRun) {
+        m_control.ReleaseClaim(request.claim, aNow);
+      } else {
+        m_control.FinishClaim(request.claim, ClaimState::Unknown, {}, aNow);
+      }
+      request.claimed = false;
+    }
+    Refuse(*request.exchange, aRefusal);
+    NoteRefusal(request, aRefusal);
+    Finish(aId, aNow);
+  }
+
+  void NoteRefusal(const PendingRequest& aRequest, const Refusal& aRefusal)
+  {
+    Log(aRequest.exchange->Head().id,
+        "admit",
+        "is refused, " + std::string(OutcomeWord(aRefusal.outcome)) + ", " +
+          aRefusal.reason + ": " + aRefusal.detail);
+    m_metrics.Count("refusals_total",
+                    { { "account", aRequest.account },
+                      { "reason", aRefusal.reason },
+                      { "outcome", OutcomeWord(aRefusal.outcome) } });
+  }
+
+  /// Forgets a request that has its answer.
+  void Finish(std::uint64_t aId, TimePoint aNow)
+  {
+    auto held = m_requests.find(aId);
+    PendingRequest& request = held->second;
+    auto service = m_services.find(request.service);
+    for (const Attempt& attempt : request.attempts) {
+      m_upstreams.Cancel(attempt.id);
+      service->second.state->End(attempt.endpoint);
+      m_attempts.erase(attempt.id);
+    }
+    Unreserve(request);
+    const bool unused = request.attempts_made == 0 && request.token != 0;
+    if (unused && request.token_until > TimePoint{}) {
+      m_control.ReturnToken(request.token, aNow);
+    }
+    if (service != m_services.end() && request.stage == Stage::Queued) {
+      service->second.queue->Remove(aId);
+    }
+    GiveBackClaim(request, aNow);
+    m_requests.erase(held);
+  }
+
+  void Log(std::uint64_t aId, const char* aPart, const std::string& aText)
+  {
+    auto held = m_requests.find(aId);
+    std::string subject = "Request " + std::to_string(aId);
+    if (held != m_requests.end()) {
+      const PendingRequest& request = held->second;
+      subject += " of " +
+                 (request.account.empty() ? std::string("anybody")
+                                          : Quoted(request.account)) +
+                 " on " + Quoted(request.route.id);
+    }
+    const std::string line = subject + " " + aText + ".";
+    LogLine(aPart, line);
+    m_history.Note(aId, std::string("[") + aPart + "] " + line);
+  }
+
+  DispatcherOptions m_options;
+  FleetControl& m_control;
+  UpstreamIo& m_upstreams;
+  Metrics& m_metrics;
+  Random m_random;
+  std::uint64_t m_nextAttempt;
+  std::unique_ptr<RetryPolicy> m_retry;
+  std::unique_ptr<RetryPolicy> m_hedge;
+  bool m_draining = false;
+  bool m_loaded = false;
+  std::uint64_t m_version = 0;
+  std::pair<std::size_t, std::size_t> m_rank{ 0, 0 };
+  std::map<std::string, Service> m_services;
+  std::unordered_map<std::uint64_t, PendingRequest> m_requests;
+  std::unordered_map<std::uint64_t, std::uint64_t> m_attempts;
+  std::unordered_map<AskId, std::uint64_t> m_asks;
+  RequestHistory m_history;
+};
+
+} // namespace
+
+std::unique_ptr<Dispatcher>
+MakeDispatcher(DispatcherOptions aOptions,
+               FleetControl& aControl,
+               UpstreamIo& aUpstreams,
+               Metrics& aMetrics)
+{
+  return std::make_unique<RequestDispatcher>(
+    std::move(aOptions), aControl, aUpstreams, aMetrics);
+}
+
+} // namespace sapphirelane
--- /dev/null
+++ b/src/sapphirelane/proxy/operator_front.cpp
@@ -0,0 +1,171 @@
+#include "sapphirelane/proxy/operator_front.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+
+#include <utility>
+
+#include <absl/strings/match.h>
+
+#include "sapphirelane/base/error.h"
+#include "sapphirelane/base/secret.h"
+
+namespace sapphirelane {
+
+namespace {
+
+constexpr std::size_t kMostBodyBytes = 64U << 20U;
+constexpr unsigned int kThreads = 4;
+constexpr unsigned int kIdleSeconds = 30;
+constexpr std::size_t kBearerLength = 7;
+
+struct CallContext
+{
+  OperatorCall call;
+  bool too_large = false;
+};
+
+class MhdOperatorFront : public OperatorFront
+{
+public:
+  MhdOperatorFront(OperatorFrontOptions aOptions,
+                   std::function<OperatorReply(const OperatorCall&)> aHandle)
+    : m_options(std::move(aOptions))
+    , m_handle(std::move(aHandle))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_options.port);
+    inet_pton(AF_INET, m_options.address.c_str(), &address.sin_addr);
+    m_daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD,
+                                m_options.port,
+                                nullptr,
+                                nullptr,
+                                &MhdOperatorFront::OnAccess,
+                                this,
+                                MHD_OPTION_SOCK_ADDR,
+                                &address,
+                                MHD_OPTION_NOTIFY_COMPLETED,
+                                &MhdOperatorFront::OnCompleted,
+                                this,
+                                MHD_OPTION_THREAD_POOL_SIZE,
+                                kThreads,
+                                MHD_OPTION_CONNECTION_TIMEOUT,
+                                kIdleSeconds,
+                                MHD_OPTION_LISTENING_ADDRESS_REUSE,
+                                1U,
+                                MHD_OPTION_END);
+    if (m_daemon == nullptr) {
+      throw Error("operators: cannot listen on " + m_options.address + ":" +
+                  std::to_string(m_options.port));
+    }
+  }
+
+  ~MhdOperatorFront() override { MHD_stop_daemon(m_daemon); }
+
+private:
+  static MHD_Result AddQuery(void* aCall,
+                             MHD_ValueKind /*aKind*/,
+                             const char* aName,
+                             const char* aValue)
+  {
+    auto* call = static_cast<OperatorCall*>(aCall);
+    call->query[aName] = aValue == nullptr ? "" : aValue;
+    return MHD_YES;
+  }
+
+  static MHD_Result OnAccess(void* aSelf,
+                             MHD_Connection* aConnection,
+                             const char* aUrl,
+                             const char* aMethod,
+                             const char* /*aVersion*/,
+                             const char* aUpload,
+                             std::size_t* aUploadSize,
+                             void** aContext)
+  {
+    auto* self = static_cast<MhdOperatorFront*>(aSelf);
+    auto* context = static_cast<CallContext*>(*aContext);
+    if (context == nullptr) {
+      context = new CallContext;
+      context->call.method = aMethod;
+      context->call.path = aUrl;
+      MHD_get_connection_values(aConnection,
+                                MHD_GET_ARGUMENT_KIND,
+                                &MhdOperatorFront::AddQuery,
+                                &context->call);
+      *aContext = context;
+      return MHD_YES;
+    }
+    if (*aUploadSize > 0) {
+      context->too_large =
+        context->too_large ||
+        context->call.body.size() + *aUploadSize > kMostBodyBytes;
+      if (!context->too_large) {
+        context->call.body.append(aUpload, *aUploadSize);
+      }
+      *aUploadSize = 0;
+      return MHD_YES;
+    }
+    return self->Answer(aConnection, *context);
+  }
+
+  bool IsAllowed(MHD_Connection* aConnection, const OperatorCall& aCall) const
+  {
+    if (!absl::StartsWith(aCall.path, "/v1/")) {
+      return true;
+    }
+    const char* value = MHD_lookup_connection_value(
+      aConnection, MHD_HEADER_KIND, "Authorization");
+    const std::string text = value == nullptr ? "" : value;
+    if (!absl::StartsWithIgnoreCase(text, "bearer ")) {
+      return false;
+    }
+    return EqualSecrets(DigestOf(text.substr(kBearerLength)),
+                        m_options.credential_digest);
+  }
+
+  MHD_Result Answer(MHD_Connection* aConnection, const CallContext& aContext)
+  {
+    OperatorReply reply;
+    if (!IsAllowed(aConnection, aContext.call)) {
+      reply = { 401, "application/json", "{\"error\":\"credential\"}\n" };
+    } else if (aContext.too_large) {
+      reply = { 413, "application/json", "{\"error\":\"too large\"}\n" };
+    } else {
+      reply = m_handle(aContext.call);
+    }
+    MHD_Response* response = MHD_create_response_from_buffer(
+      reply.body.size(), reply.body.data(), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(
+      response, "Content-Type", reply.content_type.c_str());
+    const MHD_Result queued = MHD_queue_response(
+      aConnection, static_cast<unsigned int>(reply.status), response);
+    MHD_destroy_response(response);
+    return queued;
+  }
+
+  static void OnCompleted(void* /*aSelf*/,
+                          MHD_Connection* /*aConnection*/,
+                          void** aContext,
+                          MHD_RequestTerminationCode /*aCode*/)
+  {
+    delete static_cast<CallContext*>(*aContext);
+    *aContext = nullptr;
+  }
+
+  OperatorFrontOptions m_options;
+  std::function<OperatorReply(const OperatorCall&)> m_handle;
+  MHD_Daemon* m_daemon = nullptr;
+};
+
+} // namespace
+
+std::unique_ptr<OperatorFront>
+MakeOperatorFront(OperatorFrontOptions aOptions,
+                  std::function<OperatorReply(const OperatorCall&)> aHandle)
+{
+  return std::make_unique<MhdOperatorFront>(std::move(aOptions),
+                                            std::move(aHandle));
+}
+
+} // namespace sapphirelane
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
