Run a fleet: head, evidence lease, witnesses, shards, tokens, claims, withdrawals, CLI, sheet

Change: the node state machine (membership), sealed UDP and TCP between daemons, the platform adapters, the operators' API and sapphirelanectl, the planners' sheet, stand-ins for platform and callers. The fixed configuration of one daemon is now the same node on an in-memory platform, so that one code path serves both.

--- a/include/sapphirelane/admission/budget_holder.h
+++ b/include/sapphirelane/admission/budget_holder.h
@@ -2,7 +2,9 @@
 #define SAPPHIRELANE_ADMISSION_BUDGET_HOLDER_H
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "sapphirelane/base/time.h"
@@ -10,48 +12,51 @@
 
 namespace sapphirelane {
 
-/// @brief Answer to a question for tokens.
+/// @brief Longest time for which a token may be promised ahead.
+constexpr Milliseconds kMostTokenWait{ 1000 };
+
+/// @brief Answer to a question for one token.
 struct Grant
 {
-  std::uint32_t tokens = 0; ///< May be used within kGrantLife of the question.
-  Milliseconds retry_after{}; ///< When tokens are 0: earliest useful retry.
+  bool granted = false;
+  Milliseconds wait{ 0 };        ///< Granted: use it after this time.
+  Milliseconds retry_after{ 0 }; ///< Not granted: earliest useful retry.
 };
 
 /// @brief Token buckets of the accounts whose shard a daemon holds.
 ///
-/// Tokens count as spent when they are granted. Capacity is burst - rate x
+/// A token counts as spent when it is granted. Capacity is burst - rate x
 /// kGrantLife, so that a grant used late still lies within rate and burst. A
-/// bucket that its holder has just taken over starts empty.
+/// token may be promised ahead: it is granted with the time to wait.
 class BudgetHolder
 {
 public:
-  /// @brief Grants up to a number of tokens of an account.
+  /// @brief Grants one token of an account.
   ///
-  /// The same question gets the same answer again, for kAnswerMemory.
+  /// The same question gets the same answer again while it is remembered.
   ///
   /// @param aQuestion Unique number of the question.
+  /// @param aEmptyAt When an account not seen before had an empty bucket.
   Grant Ask(const Account& aAccount,
             std::uint64_t aQuestion,
-            std::uint32_t aWanted,
+            TimePoint aEmptyAt,
             TimePoint aNow);
 
-  /// @brief Takes back tokens that the asker can no longer use.
-  ///
-  /// Each question is credited once, at most what it was granted.
-  void Return(const Account& aAccount,
-              std::uint64_t aQuestion,
-              std::uint32_t aTokens,
-              TimePoint aNow);
+  /// @brief Takes back the token that a question was granted, once.
+  void Return(const Account& aAccount, std::uint64_t aQuestion, TimePoint aNow);
 
   /// @brief Starts a bucket with a level, as handed over or empty.
   void Start(const Account& aAccount, double aLevel, TimePoint aNow);
 
-  /// @brief Tells a bucket's level, for a hand-over.
-  double Level(const Account& aAccount, TimePoint aNow);
+  /// @brief Tells the level of a bucket that is held, for a hand-over.
+  std::optional<double> Level(const Account& aAccount, TimePoint aNow);
 
   /// @brief Drops an account's bucket when its shard is given up.
   void Drop(const std::string& aAccount);
 
+  /// @brief Drops the buckets of the accounts that a predicate selects.
+  void DropIf(const std::function<bool(const std::string&)>& aSelects);
+
   /// @brief Forgets answers that nobody can ask for again.
   void Expire(TimePoint aNow);
 
@@ -71,7 +76,7 @@
     TimePoint time{};
   };
 
-  Bucket& Fill(const Account& aAccount, TimePoint aNow);
+  Bucket& Fill(const Account& aAccount, TimePoint aEmptyAt, TimePoint aNow);
 
   std::map<std::string, Bucket> m_buckets;
   std::map<std::uint64_t, Answer> m_answers;
--- a/include/sapphirelane/base/bounded_ring.h
+++ b/include/sapphirelane/base/bounded_ring.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -63,6 +64,20 @@
     }
   }
 
+  /// @brief Takes the oldest item, waiting for at most aPatience.
+  std::optional<Item> TakeOne(Duration aPatience)
+  {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_ready.wait_for(lock, aPatience, [this] { return !m_items.empty(); });
+    if (m_items.empty()) {
+      return std::nullopt;
+    }
+    Item item = std::move(m_items.front());
+    m_items.erase(m_items.begin());
+    m_space.notify_one();
+    return item;
+  }
+
   /// @brief Takes everything that is held, waiting for at most aPatience.
   std::vector<Item> TakeAll(Duration aPatience)
   {
--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -22,7 +22,7 @@
 /// @brief Where the platform's services are.
 struct PlatformSettings
 {
-  std::string adapter = "http"; ///< Name of the plug-in, or "none".
+  std::string adapter = "http"; ///< Name of the plug-in.
   std::string address;          ///< "ip:port".
   Milliseconds timeout{ 1000 }; ///< For one call.
 };
--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -111,11 +111,6 @@
   virtual std::vector<ControlEvent> TakeEvents() = 0;
 };
 
-/// @brief Control for one daemon alone with a fixed configuration.
-/// @param aWindow How long an idempotency key is remembered.
-std::unique_ptr<FleetControl>
-MakeStandaloneControl(FleetConfig aConfig, Duration aWindow);
-
 } // namespace sapphirelane
 
 #endif // SAPPHIRELANE_MEMBERSHIP_FLEET_CONTROL_H
--- /dev/null
+++ b/include/sapphirelane/wire/messages.h
@@ -0,0 +1,511 @@
+#ifndef SAPPHIRELANE_WIRE_MESSAGES_H
+#define SAPPHIRELANE_WIRE_MESSAGES_H
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sapphirelane {
+
+/// @brief One run of one daemon; a restarted daemon has a new one.
+using NodeId = std::uint64_t;
+
+/// @brief How a daemon can be reached.
+struct MemberInfo
+{
+  NodeId id = 0;
+  std::string host;
+  std::string data_centre;
+  std::string address; ///< "ip:port" for UDP and TCP.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, host, data_centre, address);
+  }
+};
+
+/// @brief A key withdrawn ahead of the configuration.
+struct Withdrawal
+{
+  std::string digest;
+  std::string key_id;
+  std::uint64_t version = 0; ///< Configuration known when it was withdrawn.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(digest, key_id, version);
+  }
+};
+
+/// @brief Sent to ring neighbours; silence leads to suspicion.
+struct Heartbeat
+{
+  MemberInfo self;
+  std::uint64_t seq = 0; ///< Newest head known.
+  bool joins = false;    ///< Not a member yet, and wants to be one.
+  std::vector<NodeId> retired;
+  std::vector<Withdrawal> withdrawals;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(self, seq, joins, retired, withdrawals);
+  }
+};
+
+/// @brief Tells that a member has been silent.
+struct SuspectNews
+{
+  NodeId suspect = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(suspect);
+  }
+};
+
+/// @brief Asks which head is the newest.
+struct HeadQuestion
+{
+  std::uint64_t nonce = 0;
+  std::uint64_t seq = 0; ///< Newest head that the asker knows.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(nonce, seq);
+  }
+};
+
+/// @brief Answers a HeadQuestion.
+struct HeadAnswer
+{
+  std::uint64_t nonce = 0;
+  std::uint64_t seq = 0;
+  bool has_age = false;     ///< The answerer has evidence for seq.
+  std::uint32_t age_ms = 0; ///< Age of that evidence, rounded up.
+  bool vouches = false;     ///< As a witness without an open intent.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(nonce, seq, has_age, age_ms, vouches);
+  }
+};
+
+/// @brief Tells of a new head.
+struct HeadNews
+{
+  std::uint64_t seq = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(seq);
+  }
+};
+
+/// @brief Asks a witness to record that seq + 1 may be written.
+struct IntentAsk
+{
+  std::uint64_t nonce = 0; ///< Names the intent.
+  std::uint64_t seq = 0;   ///< Head that the write replaces.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(nonce, seq);
+  }
+};
+
+/// @brief Answers an IntentAsk.
+struct IntentAnswer
+{
+  std::uint64_t nonce = 0;
+  bool recorded = false;
+  std::uint64_t seq = 0; ///< Newest head that the witness knows.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(nonce, recorded, seq);
+  }
+};
+
+/// @brief Takes back an intent whose write was never sent.
+struct IntentRelease
+{
+  std::uint64_t nonce = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(nonce);
+  }
+};
+
+/// @brief Asks the holder of an account's budget for tokens.
+struct TokenAsk
+{
+  std::uint64_t ask = 0;
+  std::string account;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(ask, account);
+  }
+};
+
+/// @brief Answers a TokenAsk.
+struct TokenAnswer
+{
+  std::uint64_t ask = 0;
+  bool holder = false; ///< False: nothing was decided.
+  bool granted = false;
+  std::uint32_t wait_ms = 0;  ///< With granted: use it after this time.
+  std::uint32_t retry_ms = 0; ///< Without: when to try again.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(ask, holder, granted, wait_ms, retry_ms);
+  }
+};
+
+/// @brief Gives a granted token back unused.
+struct TokenReturn
+{
+  std::uint64_t ask = 0;
+  std::string account;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(ask, account);
+  }
+};
+
+/// @brief A claim record; times travel as ages.
+struct WireClaim
+{
+  std::string id;
+  std::uint64_t fingerprint = 0;
+  NodeId claimant = 0;
+  std::uint64_t ask = 0;
+  std::uint8_t state = 0;
+  bool kept = false;
+  std::uint16_t status = 0;
+  std::string content_type;
+  std::string body;
+  std::uint64_t age_ms = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id,
+             fingerprint,
+             claimant,
+             ask,
+             state,
+             kept,
+             status,
+             content_type,
+             body,
+             age_ms);
+  }
+};
+
+/// @brief Asks the holder of a shard for the right to send a request.
+struct ClaimAsk
+{
+  std::uint64_t ask = 0;
+  std::string id;
+  std::uint64_t fingerprint = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(ask, id, fingerprint);
+  }
+};
+
+/// @brief Answers a ClaimAsk.
+struct ClaimAnswer
+{
+  std::uint64_t ask = 0;
+  std::uint8_t verdict = 0; ///< ClaimVerdict.
+  WireClaim claim;          ///< Of a repeat: its state and answer.
+  std::uint64_t map_epoch = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(ask, verdict, claim, map_epoch);
+  }
+};
+
+/// @brief Tells the holder how a claim ended; repeated until acknowledged.
+struct ClaimEnd
+{
+  WireClaim claim;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(claim);
+  }
+};
+
+/// @brief Acknowledges a ClaimEnd.
+struct ClaimEndAck
+{
+  std::uint64_t ask = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(ask);
+  }
+};
+
+/// @brief Asks another daemon to remember a claim.
+struct ClaimCopy
+{
+  WireClaim claim;
+  std::uint64_t map_epoch = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(claim, map_epoch);
+  }
+};
+
+/// @brief Answers a ClaimCopy.
+struct ClaimCopyAnswer
+{
+  std::uint64_t ask = 0;
+  bool kept = false;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(ask, kept);
+  }
+};
+
+/// @brief Work results of one endpoint.
+struct WireEvidence
+{
+  std::string endpoint;
+  std::uint32_t answered = 0;
+  std::uint32_t bad = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(endpoint, answered, bad);
+  }
+};
+
+/// @brief Evidence about a service, to its observer or back from it.
+struct EvidenceNews
+{
+  std::string service;
+  bool summary = false; ///< True when it comes from the observer.
+  std::vector<WireEvidence> endpoints;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(service, summary, endpoints);
+  }
+};
+
+/// @brief Spreads withdrawals at once.
+struct WithdrawNews
+{
+  std::uint64_t nonce = 0; ///< 0 if no acknowledgement is wanted.
+  std::vector<Withdrawal> withdrawals;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(nonce, withdrawals);
+  }
+};
+
+/// @brief Acknowledges a WithdrawNews.
+struct WithdrawAck
+{
+  std::uint64_t nonce = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(nonce);
+  }
+};
+
+/// @brief Carries a message to a daemon that cannot be reached directly.
+struct Relay
+{
+  NodeId origin = 0;
+  NodeId target = 0;
+  std::string message; ///< See EncodeMessage; never a Relay again.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(origin, target, message);
+  }
+};
+
+/// @brief Every message that travels in one datagram.
+using PeerMessage = std::variant<Heartbeat,
+                                 SuspectNews,
+                                 HeadQuestion,
+                                 HeadAnswer,
+                                 HeadNews,
+                                 IntentAsk,
+                                 IntentAnswer,
+                                 IntentRelease,
+                                 TokenAsk,
+                                 TokenAnswer,
+                                 TokenReturn,
+                                 ClaimAsk,
+                                 ClaimAnswer,
+                                 ClaimEnd,
+                                 ClaimEndAck,
+                                 ClaimCopy,
+                                 ClaimCopyAnswer,
+                                 EvidenceNews,
+                                 WithdrawNews,
+                                 WithdrawAck,
+                                 Relay>;
+
+/// @brief Asks a peer for the newest head and what leads to it.
+struct FetchState
+{
+  std::uint64_t config_version = 0; ///< What the asker has; 0 for nothing.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(config_version);
+  }
+};
+
+/// @brief Answers a FetchState.
+struct StateReply
+{
+  bool known = false;               ///< False if the peer has no head itself.
+  std::string head;                 ///< EncodeHead's text.
+  std::vector<std::string> changes; ///< From the asker's version on, if kept.
+  std::string snapshot;             ///< Else the whole configuration.
+  std::vector<Withdrawal> withdrawals;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(known, head, changes, snapshot, withdrawals);
+  }
+};
+
+/// @brief Asks a peer for all claims it remembers of some shards.
+struct CollectClaims
+{
+  std::uint64_t map_epoch = 0;
+  std::vector<std::uint32_t> shards;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(map_epoch, shards);
+  }
+};
+
+/// @brief Answers a CollectClaims.
+struct ClaimsReply
+{
+  bool ready = false; ///< False if the peer does not know the map yet.
+  std::vector<WireClaim> claims;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(ready, claims);
+  }
+};
+
+/// @brief Level of one account's token bucket.
+struct WireBucket
+{
+  std::string account;
+  double level = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(account, level);
+  }
+};
+
+/// @brief State of one shard that changes hands.
+struct WireShard
+{
+  std::uint32_t shard = 0;
+  bool claims_complete = false;
+  std::uint64_t empty_age_ms = 0; ///< Since its unused buckets were empty.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(shard, claims_complete, empty_age_ms);
+  }
+};
+
+/// @brief Hands shards to their next holder, or claims to keep.
+struct HandOver
+{
+  std::uint64_t map_epoch = 0;
+  bool retires = false; ///< The sender stops for good.
+  std::vector<WireShard> shards;
+  std::vector<WireBucket> buckets;
+  std::vector<WireClaim> claims;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(map_epoch, retires, shards, buckets, claims);
+  }
+};
+
+/// @brief Answers a HandOver.
+struct HandOverReply
+{
+  bool kept = false;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(kept);
+  }
+};
+
+/// @brief Requests and replies that travel over TCP.
+using BulkMessage = std::variant<FetchState,
+                                 StateReply,
+                                 CollectClaims,
+                                 ClaimsReply,
+                                 HandOver,
+                                 HandOverReply>;
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_WIRE_MESSAGES_H
--- a/src/sapphirelane/admission/budget_holder.cpp
+++ b/src/sapphirelane/admission/budget_holder.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Longer than any question can still be repeated.
-constexpr Milliseconds kAnswerMemory = 4 * kGrantLife;
+/// Longer than any question can still be repeated or its token returned.
+constexpr Milliseconds kAnswerMemory = kMostTokenWait + 4 * kGrantLife;
 
 double
 Capacity(const Account& aAccount)
@@ -19,12 +19,12 @@
 } // namespace
 
 BudgetHolder::Bucket&
-BudgetHolder::Fill(const Account& aAccount, TimePoint aNow)
+BudgetHolder::Fill(const Account& aAccount, TimePoint aEmptyAt, TimePoint aNow)
 {
   auto [found, isNew] = m_buckets.try_emplace(aAccount.id);
   Bucket& bucket = found->second;
   if (isNew) {
-    bucket.filled = aNow;
+    bucket.filled = aEmptyAt;
   }
   const Duration passed = std::max(Duration::zero(), aNow - bucket.filled);
   const double minted = ToSeconds(passed) * aAccount.rate;
@@ -36,22 +36,23 @@
 Grant
 BudgetHolder::Ask(const Account& aAccount,
                   std::uint64_t aQuestion,
-                  std::uint32_t aWanted,
+                  TimePoint aEmptyAt,
                   TimePoint aNow)
 {
   auto asked = m_answers.find(aQuestion);
   if (asked != m_answers.end()) {
     return asked->second.grant;
   }
-  Bucket& bucket = Fill(aAccount, aNow);
+  Bucket& bucket = Fill(aAccount, aEmptyAt, aNow);
+  const double after = bucket.level - 1;
+  const Seconds wait(std::max(0.0, -after) / aAccount.rate);
   Grant grant;
-  const double whole = std::floor(std::max(0.0, bucket.level));
-  grant.tokens =
-    static_cast<std::uint32_t>(std::min(static_cast<double>(aWanted), whole));
-  bucket.level -= grant.tokens;
-  if (grant.tokens == 0) {
-    const Seconds wait((1 - bucket.level) / aAccount.rate);
-    grant.retry_after = std::chrono::ceil<Milliseconds>(wait);
+  if (wait <= kMostTokenWait) {
+    grant.granted = true;
+    grant.wait = std::chrono::ceil<Milliseconds>(wait);
+    bucket.level = after;
+  } else {
+    grant.retry_after = std::chrono::ceil<Milliseconds>(wait - kMostTokenWait);
   }
   m_answers[aQuestion] = { grant, aNow };
   return grant;
@@ -60,17 +61,17 @@
 void
 BudgetHolder::Return(const Account& aAccount,
                      std::uint64_t aQuestion,
-                     std::uint32_t aTokens,
                      TimePoint aNow)
 {
   auto asked = m_answers.find(aQuestion);
-  if (asked == m_answers.end()) {
+  auto bucket = m_buckets.find(aAccount.id);
+  if (asked == m_answers.end() || bucket == m_buckets.end() ||
+      !asked->second.grant.granted) {
     return;
   }
-  const std::uint32_t back = std::min(aTokens, asked->second.grant.tokens);
-  asked->second.grant.tokens -= back;
-  Bucket& bucket = Fill(aAccount, aNow);
-  bucket.level = std::min(Capacity(aAccount), bucket.level + back);
+  asked->second.grant = {};
+  Bucket& filled = Fill(aAccount, aNow, aNow);
+  filled.level = std::min(Capacity(aAccount), filled.level + 1);
 }
 
 void
@@ -79,10 +80,13 @@
   m_buckets[aAccount.id] = { std::min(aLevel, Capacity(aAccount)), aNow };
 }
 
-double
+std::optional<double>
 BudgetHolder::Level(const Account& aAccount, TimePoint aNow)
 {
-  return Fill(aAccount, aNow).level;
+  if (m_buckets.count(aAccount.id) == 0) {
+    return std::nullopt;
+  }
+  return Fill(aAccount, aNow, aNow).level;
 }
 
 void
@@ -91,6 +95,14 @@
   m_buckets.erase(aAccount);
 }
 
+void
+BudgetHolder::DropIf(const std::function<bool(const std::string&)>& aSelects)
+{
+  for (auto it = m_buckets.begin(); it != m_buckets.end();) {
+    it = aSelects(it->first) ? m_buckets.erase(it) : std::next(it);
+  }
+}
+
 void
 BudgetHolder::Expire(TimePoint aNow)
 {
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -46,7 +46,7 @@
 {
   aReader.Read("adapter", aPlatform.adapter);
   aReader.Read("address", aPlatform.address);
-  if (aPlatform.adapter != "none" && !IsAddress(aPlatform.address)) {
+  if (aPlatform.adapter != "memory" && !IsAddress(aPlatform.address)) {
     aReader.Refuse("address", "ip:port");
   }
   aReader.Read(
@@ -92,7 +92,7 @@
   ReadListen(reader.Map("listen"), settings.listen);
   reader.Read("static_fleet", settings.static_fleet);
   if (!settings.static_fleet.empty()) {
-    settings.platform.adapter = "none";
+    settings.platform.adapter = "memory";
   }
   ReadPlatform(reader.Map("platform"), settings.platform);
   settings.seeds = reader.TextList("seeds");
--- /dev/null
+++ b/src/sapphirelane/platform/http_client.cpp
@@ -0,0 +1,89 @@
+#include "sapphirelane/platform/http_client.h"
+
+#include <curl/curl.h>
+
+#include "sapphirelane/base/error.h"
+
+namespace sapphirelane {
+
+namespace {
+
+class CurlClient : public HttpClient
+{
+public:
+  CurlClient(std::string aAddress, Milliseconds aTimeout)
+    : m_address(std::move(aAddress))
+    , m_timeout(aTimeout)
+    , m_easy(curl_easy_init())
+  {
+  }
+
+  CurlClient(const CurlClient&) = delete;
+  CurlClient& operator=(const CurlClient&) = delete;
+
+  ~CurlClient() override { curl_easy_cleanup(m_easy); }
+
+  HttpReply Call(const std::string& aMethod,
+                 const std::string& aPath,
+                 const std::string& aBody,
+                 const std::vector<std::string>& aHeaders) override
+  {
+    HttpReply reply;
+    curl_easy_reset(m_easy);
+    const std::string url = "http://" + m_address + aPath;
+    curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(m_easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(
+      m_easy, CURLOPT_TIMEOUT_MS, static_cast<long>(m_timeout.count()));
+    if (aMethod != "GET") {
+      curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, aBody.c_str());
+      curl_easy_setopt(m_easy,
+                       CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(aBody.size()));
+      // The library repeats a request by itself on a reused connection.
+      curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, aMethod.c_str());
+    curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &CurlClient::OnBody);
+    curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, &reply.body);
+    curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+    for (const std::string& header : aHeaders) {
+      headers = curl_slist_append(headers, header.c_str());
+    }
+    curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, headers);
+    const CURLcode code = curl_easy_perform(m_easy);
+    curl_slist_free_all(headers);
+    if (code != CURLE_OK) {
+      throw PlatformUnavailable(url + ": " + curl_easy_strerror(code));
+    }
+    long status = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+    reply.status = static_cast<int>(status);
+    return reply;
+  }
+
+private:
+  static std::size_t OnBody(char* aBytes,
+                            std::size_t aOne,
+                            std::size_t aSize,
+                            void* aBody)
+  {
+    static_cast<std::string*>(aBody)->append(aBytes, aOne * aSize);
+    return aOne * aSize;
+  }
+
+  std::string m_address;
+  Milliseconds m_timeout;
+  CURL* m_easy;
+};
+
+} // namespace
+
+std::unique_ptr<HttpClient>
+MakeHttpClient(const std::string& aAddress, Milliseconds aTimeout)
+{
+  return std::make_unique<CurlClient>(aAddress, aTimeout);
+}
+
+} // namespace sapphirelane
--- a/src/sapphirelane/proxy/dispatch_duty.cpp
+++ b/src/sapphirelane/proxy/dispatch_duty.cpp
@@ -72,6 +72,12 @@
   m_attempts.PushWaiting(std::move(aEvent));
 }
 
+void
+DispatchDuty::PostWaiting(DispatchTask aTask)
+{
+  m_tasks.PushWaiting(std::move(aTask));
+}
+
 bool
 DispatchDuty::Post(DispatchTask aTask)
 {
--- a/src/sapphirelane/proxy/dispatch_duty.h
+++ b/src/sapphirelane/proxy/dispatch_duty.h
@@ -42,6 +42,9 @@
   /// @brief Hands a task over; false if the ring is full.
   bool Post(DispatchTask aTask);
 
+  /// @brief Hands a task over that must not be lost; waits for room.
+  void PostWaiting(DispatchTask aTask);
+
   /// @brief Runs a function on the deciding thread and waits for its result.
   /// @throws Error if it cannot be run in time.
   template<typename Result>
--- a/src/sapphirelane/proxy/entry_app.cpp
+++ b/src/sapphirelane/proxy/entry_app.cpp
@@ -1,6 +1,7 @@
 #include "sapphirelane/proxy/entry_app.h"
 
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <thread>
 
@@ -11,7 +12,8 @@
 #include "sapphirelane/base/secret.h"
 #include "sapphirelane/proxy/caller_front.h"
 #include "sapphirelane/proxy/dispatch_duty.h"
-#include "sapphirelane/proxy/operator_front.h"
+#include "sapphirelane/proxy/node_runtime.h"
+#include "sapphirelane/proxy/operator_api.h"
 
 namespace sapphirelane {
 
@@ -36,11 +38,10 @@
     : m_settings(aSettings)
     , m_metrics(MakeMetrics())
   {
-    m_control =
-      MakeStandaloneControl(DecodeFleet(ReadFile(m_settings.static_fleet)),
-                            m_settings.limits.dedup_window);
     auto dispatch = std::make_unique<DispatchDuty>(m_settings.limits.in_flight);
     m_dispatch = dispatch.get();
+    m_kernel.Add(std::move(dispatch));
+    MakeControl();
     auto upstreams = MakeUpstreamIo(
       {}, [this](AttemptEvent aEvent) { m_dispatch->Push(std::move(aEvent)); });
     DispatcherOptions options;
@@ -48,20 +49,31 @@
     options.policies = m_settings.policies;
     options.seed = RandomBits();
     m_dispatcher = MakeDispatcher(options, *m_control, *upstreams, *m_metrics);
-    m_dispatch->Attach(*m_dispatcher, [](TimePoint) {});
-    m_kernel.Add(std::move(dispatch));
     m_kernel.Add(std::move(upstreams));
+    m_dispatch->Attach(*m_dispatcher, [this](TimePoint aNow) { Tick(aNow); });
+    m_api = std::make_unique<OperatorApi>(
+      *m_dispatch, *m_dispatcher, *m_control, *m_node, *m_metrics);
+  }
+
+  ~EntryDaemon() override
+  {
+    m_callers.reset();
+    m_operators.reset();
+    m_kernel.Stop();
   }
 
   void Start() override
   {
     m_kernel.Start();
+    m_node->Announce(false);
     OperatorFrontOptions operators;
     operators.address = m_settings.listen.operator_address;
     operators.port = m_settings.listen.operators;
     operators.credential_digest = m_settings.operator_digest;
-    m_operators = MakeOperatorFront(
-      operators, [this](const OperatorCall& aCall) { return Handle(aCall); });
+    m_operators =
+      MakeOperatorFront(operators, [this](const OperatorCall& aCall) {
+        return m_api->Handle(aCall);
+      });
     CallerFrontOptions callers;
     callers.address = m_settings.listen.address;
     callers.port = m_settings.listen.callers;
@@ -77,11 +89,13 @@
   bool StopPlanned() override
   {
     LogLine("entry", "Host " + m_settings.host + " is being stopped.");
-    m_stopping = true;
+    m_api->SetStopping();
+    m_node->Announce(true);
     // The balancer sees the host as not ready before it stops listening.
     std::this_thread::sleep_for(kBalancerNotice);
     m_callers->StopListening();
     const bool finished = AwaitRequests();
+    HandOver();
     m_callers.reset();
     m_operators.reset();
     m_kernel.Stop();
@@ -96,6 +110,52 @@
   static constexpr Milliseconds kPoll{ 20 };
   static constexpr int kRequestIdShift = 16;
 
+  void MakeControl()
+  {
+    if (!m_settings.static_fleet.empty()) {
+      m_fixedFleet = DecodeFleet(ReadFile(m_settings.static_fleet));
+    }
+    m_node = std::make_unique<NodeRuntime>(m_settings, *m_dispatch, *m_metrics);
+    m_node->AddDuties(m_kernel);
+    m_control = &m_node->Get();
+  }
+
+  void Tick(TimePoint aNow)
+  {
+    m_node->Get().Tick(aNow);
+    ProposeFixedFleet(aNow);
+    if (aNow < m_nextGauges) {
+      return;
+    }
+    m_nextGauges = aNow + std::chrono::seconds(1);
+    const NodeStatus status = m_node->Get().Status(aNow);
+    m_metrics->Set("fresh", {}, status.fresh ? 1 : 0);
+    m_metrics->Set("head", {}, static_cast<double>(status.seq));
+    m_metrics->Set("members", {}, static_cast<double>(status.members));
+    m_metrics->Set("shards_held", {}, static_cast<double>(status.shards_held));
+    m_metrics->Set("claims", {}, static_cast<double>(status.claims));
+    m_metrics->Set("platform_answers", {}, status.store_answers ? 1 : 0);
+  }
+
+  /// Has the configuration of a daemon that runs alone accepted.
+  void ProposeFixedFleet(TimePoint aNow)
+  {
+    const FleetConfig* config = m_control->Config();
+    if (!m_fixedFleet || config == nullptr) {
+      return;
+    }
+    ChangeSet change;
+    change.id = "static-fleet";
+    change.author = m_settings.static_fleet;
+    change.rows = Difference(*config, *m_fixedFleet);
+    m_fixedFleet.reset();
+    m_node->Get().Propose(change, aNow, [](const WriteResult& aResult, auto) {
+      if (!aResult.detail.empty()) {
+        LogLine("entry", "The fixed fleet is not usable: " + aResult.detail);
+      }
+    });
+  }
+
   bool AwaitRequests()
   {
     const TimePoint last = Clock::now() + m_settings.drain;
@@ -108,30 +168,33 @@
     return true;
   }
 
-  OperatorReply Handle(const OperatorCall& aCall)
+  /// Gives shards and claims to other daemons and leaves the map.
+  void HandOver()
   {
-    if (aCall.path == "/healthz") {
-      return { 200, "text/plain", "ok\n" };
-    }
-    if (aCall.path == "/readyz") {
-      return m_stopping ? OperatorReply{ 503, "text/plain", "stopping\n" }
-                        : OperatorReply{ 200, "text/plain", "ready\n" };
-    }
-    if (aCall.path == "/metrics") {
-      return { 200, "text/plain; version=0.0.4", m_metrics->Text() };
+    m_dispatch->Call<bool>([this](TimePoint aNow) {
+      m_node->Get().BeginStop(aNow);
+      return true;
+    });
+    const auto stopped = [this](TimePoint aNow) {
+      return m_node->Get().IsStopped(aNow);
+    };
+    while (!m_dispatch->Call<bool>(stopped)) {
+      std::this_thread::sleep_for(kPoll);
     }
-    return { 404, "application/json", "{\"error\":\"no such page\"}\n" };
   }
 
   EntrySettings m_settings;
   std::unique_ptr<Metrics> m_metrics;
-  std::unique_ptr<FleetControl> m_control;
-  std::unique_ptr<Dispatcher> m_dispatcher;
   DispatchDuty* m_dispatch = nullptr;
+  std::optional<FleetConfig> m_fixedFleet; ///< To be proposed at the start.
+  std::unique_ptr<NodeRuntime> m_node;
+  FleetControl* m_control = nullptr;
+  std::unique_ptr<Dispatcher> m_dispatcher;
   Kernel m_kernel;
+  std::unique_ptr<OperatorApi> m_api;
   std::unique_ptr<OperatorFront> m_operators;
   std::unique_ptr<CallerFront> m_callers;
-  std::atomic<bool> m_stopping{ false };
+  TimePoint m_nextGauges{};
 };
 
 } // namespace
--- /dev/null
+++ b/src/sapphirelane/proxy/operator_api.h
@@ -0,0 +1,48 @@
+#ifndef SAPPHIRELANE_PROXY_OPERATOR_API_H
+#define SAPPHIRELANE_PROXY_OPERATOR_API_H
+
+#include <atomic>
+
+#include "sapphirelane/proxy/dispatch_duty.h"
+#include "sapphirelane/proxy/node_runtime.h"
+#include "sapphirelane/proxy/operator_front.h"
+
+namespace sapphirelane {
+
+/// @brief Answers operators' calls; may be called from several threads.
+class OperatorApi
+{
+public:
+  OperatorApi(DispatchDuty& aDispatch,
+              Dispatcher& aDispatcher,
+              FleetControl& aControl,
+              NodeRuntime& aNode,
+              const Metrics& aMetrics);
+
+  OperatorReply Handle(const OperatorCall& aCall);
+
+  /// @brief Makes /readyz say that the host is going away.
+  void SetStopping() { m_stopping = true; }
+
+private:
+  OperatorReply HandleProbe(const OperatorCall& aCall);
+  OperatorReply HandleFleet(const OperatorCall& aCall);
+  OperatorReply Ready();
+  OperatorReply Config();
+  OperatorReply Explain(const std::string& aRequest);
+  OperatorReply Status();
+  OperatorReply History();
+  OperatorReply Propose(const std::string& aBody);
+  OperatorReply Withdraw(const std::string& aKey);
+
+  DispatchDuty& m_dispatch;
+  Dispatcher& m_dispatcher;
+  FleetControl& m_control;
+  NodeRuntime& m_node;
+  const Metrics& m_metrics;
+  std::atomic<bool> m_stopping{ false };
+};
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_PROXY_OPERATOR_API_H
