--- a/include/sapphirelane/membership/freshness_lease.h
+++ b/include/sapphirelane/membership/freshness_lease.h
@@ -11,9 +11,10 @@
 
 /// @brief Answers whether a daemon may still act on the head that it holds.
 ///
-/// The lease is evidence that the head was the newest at a moment: the moment
-/// at which a question was sent whose answer said so. It is compared with the
-/// present time at each use, so a pause or a one-way partition lets it lapse.
+/// The lease is evidence that no newer head was written before a moment: the
+/// moment at which a question was sent whose answer said so. It is compared
+/// with the present time at each use, so a pause or a one-way partition lets
+/// it lapse. It stays valid when a newer head is taken over.
 class FreshnessLease
 {
 public:
@@ -23,9 +24,6 @@
     m_asOf = m_asOf ? std::max(*m_asOf, aAsOf) : aAsOf;
   }
 
-  /// @brief Starts anew for another head.
-  void Reset() { m_asOf.reset(); }
-
   bool IsFresh(TimePoint aNow) const { return Age(aNow) < kFreshFor; }
 
   /// @brief Age of the newest evidence; very large if there is none.
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -77,6 +77,8 @@
   /// @brief Time after which a second attempt of safe work may start.
   Duration HedgeAfter() const;
 
+  bool IsEjected(const std::string& aEndpoint) const;
+
   /// @brief Number of endpoints out of choice by ejection.
   std::size_t Ejected() const;
 
--- a/src/sapphirelane/kernel/socket.cpp
+++ b/src/sapphirelane/kernel/socket.cpp
@@ -106,7 +106,10 @@
 Socket
 BindSocket(int aType, const std::string& aIp, std::uint16_t aPort)
 {
-  Socket socket(::socket(AF_INET, aType | SOCK_CLOEXEC, 0));
+  // Several threads may wait for the same connection and one gets it, so a
+  // listener must not block the others.
+  const int listens = aType == SOCK_STREAM ? SOCK_NONBLOCK : 0;
+  Socket socket(::socket(AF_INET, aType | SOCK_CLOEXEC | listens, 0));
   const int yes = 1;
   if (aType == SOCK_STREAM) {
     setsockopt(socket.Get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
--- a/src/sapphirelane/membership/head_keeper.cpp
+++ b/src/sapphirelane/membership/head_keeper.cpp
@@ -198,7 +198,8 @@
   const std::optional<Head> earlier = std::move(m_head);
   m_head = aHead;
   m_config = std::move(aConfig);
-  m_lease.Reset();
+  // Evidence that nothing newer than the earlier head was written before a
+  // moment holds for this newer head as well, so the lease goes on.
   if (m_target && m_target->seq <= aHead.seq) {
     if (m_target->seq == aHead.seq) {
       m_lease.AddEvidence(m_targetAsOf);
--- a/src/sapphirelane/proxy/caller_front.cpp
+++ b/src/sapphirelane/proxy/caller_front.cpp
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <mutex>
+#include <set>
 #include <utility>
 
 #include "sapphirelane/base/error.h"
@@ -106,6 +108,7 @@
   ~MhdFront() override
   {
     StopListening();
+    EndAll();
     MHD_stop_daemon(m_daemon);
   }
 
@@ -163,6 +166,18 @@
     return MHD_YES;
   }
 
+  /// Answers what has no answer yet; the library refuses to stop while a
+  /// connection is suspended.
+  void EndAll()
+  {
+    std::lock_guard<std::mutex> lock(m_openMutex);
+    for (const ExchangePtr& exchange : m_openExchanges) {
+      Refuse(*exchange,
+             { 503, Outcome::Unknown, "stopping", "this host stops now" });
+      exchange->UpstreamBreak();
+    }
+  }
+
   MHD_Result Begin(MHD_Connection* aConnection,
                    const char* aMethod,
                    const char* aVersion,
@@ -179,6 +194,10 @@
       std::move(head), m_options.limits.buffer_bytes);
     aContext.exchange->SetPort(std::make_unique<ConnectionPort>(aConnection));
     ++m_open;
+    {
+      std::lock_guard<std::mutex> lock(m_openMutex);
+      m_openExchanges.insert(aContext.exchange);
+    }
     if (std::string(aVersion) != "HTTP/1.1") {
       Refuse(*aContext.exchange,
              { 505, Outcome::NotRun, "version", "HTTP/1.1 is required" });
@@ -276,6 +295,10 @@
     }
     if (context->exchange) {
       context->exchange->CallerLeave();
+      {
+        std::lock_guard<std::mutex> lock(self->m_openMutex);
+        self->m_openExchanges.erase(context->exchange);
+      }
       --self->m_open;
     }
     delete context;
@@ -288,6 +311,8 @@
   MHD_Daemon* m_daemon = nullptr;
   std::atomic<bool> m_quiet{ false };
   std::atomic<std::size_t> m_open{ 0 };
+  std::mutex m_openMutex;
+  std::set<ExchangePtr> m_openExchanges;
 };
 
 } // namespace
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -326,6 +326,7 @@
   {
     if (aReply.state == ClaimState::Running) {
       aRequest.claim_again = aNow + kClaimPoll;
+      aRequest.repeats = true;
       return;
     }
     if (aReply.state == ClaimState::Done && aReply.answer.kept) {
@@ -801,6 +802,15 @@
   {
     const bool waits =
       aRequest.stage != Stage::Sending && aRequest.stage != Stage::Answering;
+    if (aRequest.repeats && waits && aNow >= aRequest.deadline) {
+      RefuseHeld(aId,
+                 { 409,
+                   Outcome::Unknown,
+                   "still-running",
+                   "it was sent before and has no answer yet" },
+                 aNow);
+      return;
+    }
     if (waits && aNow >= aRequest.deadline) {
       RefuseHeld(aId,
                  { 504,
@@ -852,9 +862,12 @@
     if (aRequest.hedged || !IsSafe(aRequest) || longest < state.HedgeAfter()) {
       return;
     }
+    const bool lost = IsLost(aRequest, state);
     const bool allowed =
-      trial ||
-      m_hedge->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow);
+      trial || lost ||
+      m_hedge->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow) ||
+      (IsStalled(aRequest) &&
+       m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow));
     if (!allowed) {
       return;
     }
@@ -864,6 +877,23 @@
     }
   }
 
+  /// All attempts run at endpoints that have been ejected meanwhile. Their
+  /// number is bounded by the endpoints' slots, so no budget is asked.
+  static bool IsLost(const PendingRequest& aRequest, const ServiceState& aState)
+  {
+    return std::all_of(
+      aRequest.attempts.begin(),
+      aRequest.attempts.end(),
+      [&](const Attempt& aOne) { return aState.IsEjected(aOne.endpoint); });
+  }
+
+  static bool IsStalled(const PendingRequest& aRequest)
+  {
+    return std::all_of(aRequest.attempts.begin(),
+                       aRequest.attempts.end(),
+                       [](const Attempt& aOne) { return aOne.stalled; });
+  }
+
   /// The caller has gone; nothing is sent for it any more.
   void Abandon(std::uint64_t aId,
                const PendingRequest& aRequest,
@@ -871,6 +901,9 @@
   {
     m_metrics.Count("abandoned_total", { { "service", aRequest.service } });
     Log(aId, "route", "was abandoned by its caller");
+    // The connection is woken, finds its caller gone and ends.
+    Refuse(*aRequest.exchange,
+           { 499, Outcome::Unknown, "caller-left", "the caller has gone" });
     Finish(aId, aNow);
   }
 
--- a/src/sapphirelane/proxy/pending_request.h
+++ b/src/sapphirelane/proxy/pending_request.h
@@ -48,6 +48,7 @@
   bool claimed = false;    ///< The claim was granted.
   bool reserved = false;   ///< A slot is set aside while the claim is asked.
   TimePoint claim_again{}; ///< When to ask for a running repeat anew.
+  bool repeats = false;    ///< It is claimed by another request that runs.
   bool left = false;       ///< A byte of an attempt may have been sent.
   bool hedged = false;
   int answer_status = 0;
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -283,6 +283,12 @@
   return std::max(kLeastHedge, std::chrono::duration_cast<Duration>(scaled));
 }
 
+bool
+ServiceState::IsEjected(const std::string& aEndpoint) const
+{
+  return m_ejector->IsEjected(aEndpoint);
+}
+
 std::size_t
 ServiceState::Ejected() const
 {
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -49,6 +49,9 @@
 constexpr long kTimeoutMs = 12000;
 constexpr int kOk = 200;
 
+/// A host that takes no connection is not tried for this long.
+constexpr double kDownSeconds = 1;
+
 /// A withdrawn key may be served for this long after its withdrawal.
 constexpr double kWithdrawSeconds = 3;
 
@@ -156,6 +159,7 @@
   std::string body;
   std::string load;
   std::size_t uploaded = 0;
+  std::size_t connects = 0; ///< Hosts that took no connection.
   curl_slist* headers = nullptr;
 };
 
@@ -244,9 +248,7 @@
   {
     auto sample = std::make_unique<Sample>();
     sample->arrival = aArrival;
-    std::uniform_int_distribution<std::size_t> draw(0,
-                                                    m_plan.entries.size() - 1);
-    sample->entry = m_plan.entries[draw(m_random)];
+    sample->entry = DrawEntry();
     const std::string token = aArrival.idempotency.empty()
                                 ? std::to_string(aArrival.number)
                                 : aArrival.idempotency;
@@ -266,10 +268,7 @@
         break;
     }
     sample->sent = Now();
-    CURL* easy = curl_easy_init();
-    SetOptions(easy, *sample);
-    curl_multi_add_handle(m_multi, easy);
-    ++m_running;
+    Launch(*sample);
     m_samples.push_back(std::move(sample));
   }
 
@@ -354,15 +353,16 @@
         continue;
       }
       CURL* easy = message->easy_handle;
+      const CURLcode code = message->data.result;
       Sample* sample = nullptr;
       curl_easy_getinfo(easy, CURLINFO_PRIVATE, &sample);
       sample->done = Now();
-      if (message->data.result == CURLE_OK) {
+      if (code == CURLE_OK) {
         long status = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
         sample->status = static_cast<int>(status);
       } else {
-        sample->error = curl_easy_strerror(message->data.result);
+        sample->error = curl_easy_strerror(code);
       }
       if (!sample->outcome.empty()) {
         const json body = json::parse(sample->body, nullptr, false);
@@ -374,9 +374,46 @@
       curl_slist_free_all(sample->headers);
       sample->headers = nullptr;
       --m_running;
+      if (code == CURLE_COULDNT_CONNECT) {
+        SendElsewhere(*sample);
+      }
     }
   }
 
+  /// Does what a balancer does with a host that takes no connection.
+  void SendElsewhere(Sample& aSample)
+  {
+    m_down[aSample.entry] = Now() + kDownSeconds;
+    if (++aSample.connects > m_plan.entries.size()) {
+      return;
+    }
+    aSample.entry = DrawEntry();
+    aSample.error.clear();
+    Launch(aSample);
+  }
+
+  std::string DrawEntry()
+  {
+    std::vector<std::string> up;
+    for (const std::string& entry : m_plan.entries) {
+      auto down = m_down.find(entry);
+      if (down == m_down.end() || down->second <= Now()) {
+        up.push_back(entry);
+      }
+    }
+    const auto& choice = up.empty() ? m_plan.entries : up;
+    std::uniform_int_distribution<std::size_t> draw(0, choice.size() - 1);
+    return choice[draw(m_random)];
+  }
+
+  void Launch(Sample& aSample)
+  {
+    CURL* easy = curl_easy_init();
+    SetOptions(easy, aSample);
+    curl_multi_add_handle(m_multi, easy);
+    ++m_running;
+  }
+
   const Plan& m_plan;
   std::mt19937_64 m_random;
   CURLM* m_multi;
@@ -384,6 +421,7 @@
   std::priority_queue<Arrival> m_arrivals;
   std::uint64_t m_lastNumber = 0;
   std::size_t m_running = 0;
+  std::map<std::string, double> m_down; ///< Until when a host is not tried.
   std::vector<std::unique_ptr<Sample>> m_samples;
 };
 
