--- /dev/null
+++ b/bench/policy_bench.cpp
@@ -0,0 +1,914 @@
+/// Drives the real decision classes with a virtual clock, seeded arrivals and
+/// a queueing model of endpoints, and writes what it measures as JSON.
+///
+/// The model has the brief's slots, connection cost and lagging load reports.
+/// It models no network between daemons: each daemon chooses for itself, and
+/// evidence is shared through the real EvidenceBoard.
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include "sapphirelane/admission/budget_holder.h"
+#include "sapphirelane/admission/request_queue.h"
+#include "sapphirelane/claims/claim_table.h"
+#include "sapphirelane/membership/evidence_board.h"
+#include "sapphirelane/routing/balancer.h"
+#include "sapphirelane/routing/ejector.h"
+#include "sapphirelane/routing/retry_policy.h"
+
+namespace {
+
+using namespace sapphirelane; // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+constexpr Milliseconds kJudgePeriod{ 50 };
+constexpr Milliseconds kSharePeriod{ 250 };
+constexpr Milliseconds kConnect{ 1 };
+
+double
+Milli(Duration aTime)
+{
+  return ToSeconds(aTime) * 1000;
+}
+
+double
+Percentile(std::vector<double> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const auto rank = static_cast<std::size_t>(
+    std::ceil(aShare * static_cast<double>(aValues.size())));
+  return aValues[std::max<std::size_t>(1, rank) - 1];
+}
+
+/// Events in virtual time.
+class Agenda
+{
+public:
+  TimePoint Now() const { return m_now; }
+
+  void At(TimePoint aTime, std::function<void()> aAction)
+  {
+    m_events.push({ aTime, m_count++, std::move(aAction) });
+  }
+
+  void RunUntil(TimePoint aEnd)
+  {
+    while (!m_events.empty() && m_events.top().time <= aEnd) {
+      const Event event = m_events.top();
+      m_events.pop();
+      m_now = event.time;
+      event.action();
+    }
+    m_now = aEnd;
+  }
+
+private:
+  struct Event
+  {
+    TimePoint time{};
+    std::uint64_t order = 0;
+    std::function<void()> action;
+
+    bool operator<(const Event& aOther) const
+    {
+      return std::tie(time, order) > std::tie(aOther.time, aOther.order);
+    }
+  };
+
+  TimePoint m_now{ std::chrono::hours(1) };
+  std::uint64_t m_count = 0;
+  std::priority_queue<Event> m_events;
+};
+
+/// One endpoint: slots, a queue, a speed and a fault.
+struct ModelEndpoint
+{
+  std::string id;
+  std::uint32_t slots = 2;
+  double slowness = 1; ///< Factor on the time of work.
+  bool stalls = false;
+  TimePoint cold_until{}; ///< Work takes three times as long before.
+  std::uint32_t busy = 0;
+  std::queue<std::function<void()>> waiting;
+  double reported = 0; ///< Load as of the last report.
+  TimePoint reported_at{};
+};
+
+struct ModelOptions
+{
+  std::size_t daemons = 40;
+  std::size_t endpoints = 6;
+  std::uint32_t slots = 2;
+  double load = 0.5; ///< Share of all slots that the arrivals keep busy.
+  Milliseconds work{ 25 };
+  std::string ejector = "peer-comparison";
+  std::string hedging = "hedge"; ///< none, retry or hedge.
+  std::uint64_t seed = 1;
+  std::uint32_t floor = 50;
+  bool shares = true; ///< Daemons share evidence.
+};
+
+/// Daemons before one service.
+class Model
+{
+public:
+  explicit Model(const ModelOptions& aOptions)
+    : m_options(aOptions)
+    , m_random(aOptions.seed)
+    , m_endpoints(aOptions.endpoints)
+  {
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+      m_endpoints[i].id = "e" + std::to_string(i);
+      m_endpoints[i].slots = aOptions.slots;
+    }
+    for (std::size_t i = 0; i < aOptions.daemons; ++i) {
+      m_daemons.push_back(std::make_unique<DaemonState>());
+      DaemonState& daemon = *m_daemons.back();
+      daemon.ejector = EjectorRegistry::Make(aOptions.ejector);
+      daemon.balancer = MakeTwoChoices({});
+      RetryBudgetOptions hedge;
+      hedge.share = 0.04;
+      daemon.hedge = MakeRetryBudget(hedge);
+      daemon.retry = MakeRetryBudget({});
+      daemon.in_flight.resize(m_endpoints.size());
+      daemon.latency.resize(m_endpoints.size());
+      daemon.latency_at.resize(m_endpoints.size());
+      daemon.good.resize(m_endpoints.size());
+      daemon.bad.resize(m_endpoints.size());
+      JudgeLater(i);
+      ShareLater(i);
+    }
+    Arrive();
+  }
+
+  Agenda& Time() { return m_agenda; }
+  ModelEndpoint& At(std::size_t aIndex) { return m_endpoints[aIndex]; }
+
+  /// Calls back when an endpoint's state of ejection changes at a daemon.
+  std::function<void(std::size_t, const EjectionChange&)> on_change;
+
+  std::vector<double> latencies; ///< Of answered requests, milliseconds.
+  std::size_t requests = 0;
+  std::size_t attempts = 0;
+  std::size_t unanswered = 0;
+  std::vector<std::size_t> sent = std::vector<std::size_t>(64, 0);
+
+  bool IsOut(std::size_t aDaemon, std::size_t aEndpoint) const
+  {
+    return m_daemons[aDaemon]->ejector->IsEjected(m_endpoints[aEndpoint].id);
+  }
+
+  /// Smallest share of slots in choice at any daemon so far.
+  double least_capacity = 1;
+
+private:
+  struct DaemonState
+  {
+    std::unique_ptr<Ejector> ejector;
+    std::unique_ptr<Balancer> balancer;
+    std::unique_ptr<RetryPolicy> hedge;
+    std::unique_ptr<RetryPolicy> retry;
+    std::vector<std::uint32_t> in_flight;
+    std::vector<Duration> latency;
+    std::vector<TimePoint> latency_at;
+    std::vector<std::uint32_t> good;
+    std::vector<std::uint32_t> bad;
+    std::set<std::size_t> trials;
+    bool has_bad = false;
+  };
+
+  /// One request at a daemon.
+  struct Request
+  {
+    std::size_t daemon = 0;
+    TimePoint begun{};
+    bool done = false;
+    std::uint32_t attempts = 0;
+    std::vector<std::size_t> tried;
+  };
+
+  using RequestPtr = std::shared_ptr<Request>;
+
+  void Arrive()
+  {
+    const double perSecond = m_options.load *
+                             static_cast<double>(m_options.endpoints) *
+                             m_options.slots / ToSeconds(m_options.work);
+    std::exponential_distribution<double> gap(perSecond);
+    const auto wait =
+      std::chrono::duration_cast<Duration>(Seconds(gap(m_random)));
+    m_agenda.At(m_agenda.Now() + wait, [this] {
+      auto request = std::make_shared<Request>();
+      request->daemon = m_random() % m_daemons.size();
+      request->begun = m_agenda.Now();
+      ++requests;
+      m_daemons[request->daemon]->hedge->OnRequest(m_agenda.Now());
+      m_daemons[request->daemon]->retry->OnRequest(m_agenda.Now());
+      Attempt(request);
+      Arrive();
+    });
+  }
+
+  void Attempt(const RequestPtr& aRequest)
+  {
+    DaemonState& daemon = *m_daemons[aRequest->daemon];
+    const auto choice = Choose(daemon, aRequest->tried);
+    if (!choice) {
+      ++unanswered;
+      return;
+    }
+    const std::size_t index = *choice;
+    aRequest->tried.push_back(index);
+    ++aRequest->attempts;
+    ++attempts;
+    ++sent[index];
+    ++daemon.in_flight[index];
+    const TimePoint begun = m_agenda.Now();
+    auto answered = std::make_shared<bool>(false);
+    Enter(index, [this, aRequest, index, begun, answered] {
+      *answered = true;
+      Answer(aRequest, index, begun);
+    });
+    WatchStall(aRequest, index, begun, answered);
+    WatchHedge(aRequest, index, answered);
+    // The caller's deadline ends the attempt.
+    m_agenda.At(begun + std::chrono::seconds(3),
+                [this, aRequest, index, answered] {
+                  if (!*answered) {
+                    *answered = true;
+                    --m_daemons[aRequest->daemon]->in_flight[index];
+                    m_daemons[aRequest->daemon]->trials.erase(index);
+                    if (!aRequest->done) {
+                      aRequest->done = true;
+                      ++unanswered;
+                    }
+                  }
+                });
+  }
+
+  std::optional<std::size_t> Choose(DaemonState& aDaemon,
+                                    const std::vector<std::size_t>& aTried)
+  {
+    const TimePoint now = m_agenda.Now();
+    std::vector<Candidate> candidates;
+    std::vector<std::size_t> indexes;
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+      const ModelEndpoint& endpoint = m_endpoints[i];
+      const bool tries = aDaemon.trials.count(i) == 0 &&
+                         aDaemon.ejector->WantsTrial(endpoint.id, now);
+      if (tries) {
+        aDaemon.trials.insert(i);
+        return i;
+      }
+      const bool tried =
+        std::find(aTried.begin(), aTried.end(), i) != aTried.end();
+      if (tried || aDaemon.ejector->IsEjected(endpoint.id)) {
+        continue;
+      }
+      Candidate candidate;
+      candidate.id = endpoint.id;
+      candidate.slots = endpoint.slots;
+      candidate.in_flight = aDaemon.in_flight[i];
+      candidate.reported_load = endpoint.reported;
+      candidate.report_age = now - endpoint.reported_at;
+      const double age = ToSeconds(now - aDaemon.latency_at[i]);
+      candidate.latency = std::chrono::duration_cast<Duration>(
+        Seconds(ToSeconds(aDaemon.latency[i]) * std::exp2(-age / 2)));
+      candidate.in_service_for = std::chrono::hours(1);
+      candidates.push_back(candidate);
+      indexes.push_back(i);
+    }
+    const auto picked = aDaemon.balancer->Pick(candidates, now, m_random);
+    if (!picked) {
+      return std::nullopt;
+    }
+    return indexes[*picked];
+  }
+
+  /// Takes work in: a slot, or the queue.
+  void Enter(std::size_t aIndex, std::function<void()> aDone)
+  {
+    ModelEndpoint& endpoint = m_endpoints[aIndex];
+    if (endpoint.stalls) {
+      return;
+    }
+    if (endpoint.busy >= endpoint.slots) {
+      endpoint.waiting.push([this, aIndex, aDone] { Work(aIndex, aDone); });
+      return;
+    }
+    Work(aIndex, aDone);
+  }
+
+  void Work(std::size_t aIndex, const std::function<void()>& aDone)
+  {
+    ModelEndpoint& endpoint = m_endpoints[aIndex];
+    ++endpoint.busy;
+    // Half fixed, half exponential, as the stand-in upstream does.
+    std::exponential_distribution<double> extra(2.0);
+    double factor = (0.5 + extra(m_random)) * endpoint.slowness;
+    if (m_agenda.Now() < endpoint.cold_until) {
+      factor *= 3;
+    }
+    const auto time = std::chrono::duration_cast<Duration>(
+      Seconds(ToSeconds(m_options.work) * factor));
+    m_agenda.At(m_agenda.Now() + time + kConnect, [this, aIndex, aDone] {
+      ModelEndpoint& done = m_endpoints[aIndex];
+      --done.busy;
+      done.reported =
+        static_cast<double>(done.busy + done.waiting.size()) / done.slots;
+      done.reported_at = m_agenda.Now();
+      if (!done.stalls) {
+        aDone();
+      }
+      if (!done.waiting.empty()) {
+        const auto next = done.waiting.front();
+        done.waiting.pop();
+        next();
+      }
+    });
+  }
+
+  void Answer(const RequestPtr& aRequest, std::size_t aIndex, TimePoint aBegun)
+  {
+    DaemonState& daemon = *m_daemons[aRequest->daemon];
+    --daemon.in_flight[aIndex];
+    daemon.trials.erase(aIndex);
+    const Duration elapsed = m_agenda.Now() - aBegun;
+    daemon.ejector->Observe(m_endpoints[aIndex].id,
+                            { WorkResult::Answered, elapsed },
+                            m_agenda.Now());
+    ++daemon.good[aIndex];
+    const double old = ToSeconds(daemon.latency[aIndex]);
+    const double mixed =
+      old == 0 ? ToSeconds(elapsed) : old + 0.1 * (ToSeconds(elapsed) - old);
+    daemon.latency[aIndex] =
+      std::chrono::duration_cast<Duration>(Seconds(mixed));
+    daemon.latency_at[aIndex] = m_agenda.Now();
+    if (!aRequest->done) {
+      aRequest->done = true;
+      latencies.push_back(Milli(m_agenda.Now() - aRequest->begun));
+    }
+  }
+
+  void WatchStall(const RequestPtr& aRequest,
+                  std::size_t aIndex,
+                  TimePoint aBegun,
+                  const std::shared_ptr<bool>& aAnswered)
+  {
+    DaemonState& daemon = *m_daemons[aRequest->daemon];
+    const Duration after = daemon.ejector->StallAfter(m_agenda.Now());
+    m_agenda.At(aBegun + after, [this, aRequest, aIndex, after, aAnswered] {
+      if (*aAnswered) {
+        return;
+      }
+      DaemonState& one = *m_daemons[aRequest->daemon];
+      one.ejector->Observe(
+        m_endpoints[aIndex].id, { WorkResult::Stalled, after }, m_agenda.Now());
+      ++one.bad[aIndex];
+      one.has_bad = true;
+      const bool retries =
+        m_options.hedging != "none" && !aRequest->done &&
+        aRequest->attempts < 2 &&
+        one.retry->TakeExtra(aRequest->attempts,
+                             m_agenda.Now() + std::chrono::seconds(1),
+                             m_agenda.Now());
+      if (retries) {
+        Attempt(aRequest);
+      }
+    });
+  }
+
+  void WatchHedge(const RequestPtr& aRequest,
+                  std::size_t aIndex,
+                  const std::shared_ptr<bool>& aAnswered)
+  {
+    if (m_options.hedging != "hedge" || aRequest->attempts > 1) {
+      return;
+    }
+    DaemonState& daemon = *m_daemons[aRequest->daemon];
+    Duration least = Duration::max();
+    for (const Duration& latency : daemon.latency) {
+      if (latency > Duration::zero()) {
+        least = std::min(least, latency);
+      }
+    }
+    const Duration after = least == Duration::max()
+                             ? Duration(Milliseconds(100))
+                             : std::max<Duration>(Milliseconds(20), least * 3);
+    m_agenda.At(m_agenda.Now() + after, [this, aRequest, aIndex, aAnswered] {
+      DaemonState& one = *m_daemons[aRequest->daemon];
+      const bool allowed =
+        !*aAnswered && !aRequest->done && aRequest->attempts == 1 &&
+        (one.trials.count(aIndex) == 1 ||
+         one.ejector->IsEjected(m_endpoints[aIndex].id) ||
+         one.hedge->TakeExtra(
+           1, m_agenda.Now() + std::chrono::seconds(1), m_agenda.Now()));
+      if (allowed) {
+        Attempt(aRequest);
+      }
+    });
+  }
+
+  void JudgeLater(std::size_t aDaemon)
+  {
+    m_agenda.At(m_agenda.Now() + kJudgePeriod, [this, aDaemon] {
+      std::vector<JudgedEndpoint> judged;
+      for (const ModelEndpoint& endpoint : m_endpoints) {
+        const bool cold = m_agenda.Now() < endpoint.cold_until;
+        judged.push_back({ endpoint.id,
+                           endpoint.slots,
+                           true,
+                           cold ? Duration(Milliseconds(1))
+                                : Duration(std::chrono::hours(1)) });
+      }
+      DaemonState& daemon = *m_daemons[aDaemon];
+      for (const EjectionChange& change :
+           daemon.ejector->Judge(judged, m_options.floor, m_agenda.Now())) {
+        if (on_change) {
+          on_change(aDaemon, change);
+        }
+      }
+      std::uint32_t left = 0;
+      std::uint32_t all = 0;
+      for (const ModelEndpoint& endpoint : m_endpoints) {
+        all += endpoint.slots;
+        left += daemon.ejector->IsEjected(endpoint.id) ? 0 : endpoint.slots;
+      }
+      least_capacity =
+        std::min(least_capacity, static_cast<double>(left) / all);
+      JudgeLater(aDaemon);
+    });
+  }
+
+  void ShareLater(std::size_t aDaemon)
+  {
+    m_agenda.At(m_agenda.Now() + kSharePeriod, [this, aDaemon] {
+      DaemonState& daemon = *m_daemons[aDaemon];
+      if (!daemon.has_bad) {
+        std::fill(daemon.good.begin(), daemon.good.end(), 0);
+      }
+      if (m_options.shares && daemon.has_bad) {
+        EvidenceNews news;
+        news.service = "s";
+        for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+          if (daemon.good[i] + daemon.bad[i] > 0) {
+            news.endpoints.push_back(
+              { m_endpoints[i].id, daemon.good[i], daemon.bad[i] });
+          }
+          daemon.good[i] = 0;
+          daemon.bad[i] = 0;
+        }
+        daemon.has_bad = false;
+        const EvidenceNews others =
+          m_board.Exchange(aDaemon + 1, news, m_agenda.Now());
+        for (const WireEvidence& one : others.endpoints) {
+          if (one.answered > 0) {
+            daemon.ejector->Observe(
+              one.endpoint,
+              { WorkResult::Answered, Duration(0), one.answered },
+              m_agenda.Now());
+          }
+          if (one.bad > 0) {
+            daemon.ejector->Observe(
+              one.endpoint,
+              { WorkResult::Stalled, Duration(0), one.bad },
+              m_agenda.Now());
+          }
+        }
+      }
+      ShareLater(aDaemon);
+    });
+  }
+
+  ModelOptions m_options;
+  Random m_random;
+  Agenda m_agenda;
+  std::vector<ModelEndpoint> m_endpoints;
+  std::vector<std::unique_ptr<DaemonState>> m_daemons;
+  EvidenceBoard m_board;
+};
+
+/// Times from the fault to each daemon's ejection of the stalled endpoint.
+json
+MeasureGray(const std::string& aEjector, std::size_t aSeeds)
+{
+  std::vector<double> times;
+  std::size_t missed = 0;
+  for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+    ModelOptions options;
+    options.ejector = aEjector;
+    options.seed = seed;
+    Model model(options);
+    const TimePoint start = model.Time().Now();
+    model.Time().RunUntil(start + std::chrono::seconds(20));
+    const TimePoint fault = model.Time().Now();
+    model.At(2).stalls = true;
+    std::map<std::size_t, double> out;
+    model.on_change = [&](std::size_t aDaemon, const EjectionChange& aChange) {
+      if (aChange.endpoint == "e2" && aChange.ejected) {
+        out.emplace(aDaemon, ToSeconds(model.Time().Now() - fault));
+      }
+    };
+    model.Time().RunUntil(fault + std::chrono::seconds(30));
+    for (std::size_t daemon = 0; daemon < options.daemons; ++daemon) {
+      auto found = out.find(daemon);
+      if (found == out.end()) {
+        ++missed;
+      } else {
+        times.push_back(found->second);
+      }
+    }
+  }
+  constexpr double kNever = 30;
+  std::vector<double> all = times;
+  all.insert(all.end(), missed, kNever);
+  return { { "ejector", aEjector },
+           { "seeds", aSeeds },
+           { "median_s", Percentile(all, 0.5) },
+           { "p99_s", Percentile(all, 0.99) },
+           { "never", missed },
+           { "daemons", all.size() } };
+}
+
+/// Healthy endpoints ejected in an hour of high load.
+json
+MeasureMistakes(const std::string& aEjector, std::uint64_t aSeed)
+{
+  std::size_t mistakes = 0;
+  // Fewer daemons, the same load on the endpoints.
+  ModelOptions options;
+  options.ejector = aEjector;
+  options.daemons = 8;
+  options.seed = aSeed;
+  Model model(options);
+  model.At(0).slowness = 2;
+  model.At(1).slowness = 2;
+  model.on_change = [&](std::size_t, const EjectionChange& aChange) {
+    mistakes += aChange.ejected ? 1 : 0;
+  };
+  const TimePoint start = model.Time().Now();
+  for (int minute = 0; minute < 60; ++minute) {
+    if (minute % 10 == 5) {
+      // A restart: the endpoint is cold for 10 s.
+      model.At(3).cold_until = model.Time().Now() + std::chrono::seconds(10);
+    }
+    model.Time().RunUntil(start + std::chrono::minutes(minute + 1));
+  }
+  return { { "ejector", aEjector }, { "mistakes", mistakes } };
+}
+
+/// Load for the mistakes above: 90% of the slots that the slow ones leave.
+json
+MeasureMistakesAt90(const std::string& aEjector, std::uint64_t aSeed)
+{
+  std::size_t mistakes = 0;
+  ModelOptions options;
+  options.ejector = aEjector;
+  options.daemons = 8;
+  options.seed = aSeed;
+  // Two of six are half as fast, so that 5 of 6 slots' worth of work fits.
+  options.load = 0.9 * 5 / 6;
+  Model model(options);
+  model.At(0).slowness = 2;
+  model.At(1).slowness = 2;
+  model.on_change = [&](std::size_t, const EjectionChange& aChange) {
+    mistakes += aChange.ejected ? 1 : 0;
+  };
+  const TimePoint start = model.Time().Now();
+  for (int minute = 0; minute < 60; ++minute) {
+    if (minute % 10 == 5) {
+      model.At(3).cold_until = model.Time().Now() + std::chrono::seconds(10);
+    }
+    model.Time().RunUntil(start + std::chrono::minutes(minute + 1));
+  }
+  return { { "ejector", aEjector },
+           { "mistakes", mistakes },
+           { "p99_ms", Percentile(model.latencies, 0.99) } };
+}
+
+/// Work sent into the sick phases of an endpoint that flaps.
+json
+MeasureFlapping(const std::string& aEjector, std::uint64_t aSeed)
+{
+  ModelOptions options;
+  options.ejector = aEjector;
+  options.daemons = 8;
+  options.seed = aSeed;
+  Model model(options);
+  const TimePoint start = model.Time().Now();
+  model.Time().RunUntil(start + std::chrono::seconds(20));
+  std::size_t into = 0;
+  for (int cycle = 0; cycle < 60; ++cycle) {
+    model.At(2).stalls = true;
+    const std::size_t before = model.sent[2];
+    model.Time().RunUntil(model.Time().Now() + std::chrono::seconds(10));
+    into += model.sent[2] - before;
+    model.At(2).stalls = false;
+    model.Time().RunUntil(model.Time().Now() + std::chrono::seconds(10));
+  }
+  return { { "ejector", aEjector }, { "work_in_sick_phases", into } };
+}
+
+/// Read latency with one stalled endpoint against no fault.
+json
+MeasureReads(const std::string& aHedging, bool aFault, std::uint64_t aSeed)
+{
+  ModelOptions options;
+  options.hedging = aHedging;
+  options.seed = aSeed;
+  Model model(options);
+  const TimePoint start = model.Time().Now();
+  model.Time().RunUntil(start + std::chrono::seconds(20));
+  model.latencies.clear();
+  model.requests = 0;
+  model.attempts = 0;
+  model.unanswered = 0;
+  model.At(2).stalls = aFault;
+  model.Time().RunUntil(model.Time().Now() + std::chrono::seconds(60));
+  return { { "hedging", aHedging },
+           { "fault", aFault },
+           { "p50_ms", Percentile(model.latencies, 0.5) },
+           { "p99_ms", Percentile(model.latencies, 0.99) },
+           { "unanswered", model.unanswered },
+           { "requests", model.requests },
+           { "attempts_per_request",
+             static_cast<double>(model.attempts) /
+               static_cast<double>(model.requests) } };
+}
+
+/// Goodput of the worst-served account while another sends too much.
+json
+MeasureFairness(const std::string& aQueue,
+                double aAggressor,
+                std::uint64_t aSeed)
+{
+  Random random(aSeed);
+  Agenda agenda;
+  auto queue = QueueRegistry::Make(aQueue, aQueue == "fair" ? 64 : 512);
+  constexpr std::size_t kAccounts = 8;
+  constexpr std::uint32_t kSlots = 12;
+  constexpr double kWorkSeconds = 0.025;
+  // Each account's rate is a ninth of the capacity; all but the aggressor
+  // send 95% of it.
+  const double capacity = kSlots / kWorkSeconds;
+  const double rate = capacity / 9;
+  std::vector<std::size_t> sent(kAccounts, 0);
+  std::vector<std::size_t> served(kAccounts, 0);
+  std::uint32_t busy = 0;
+  std::uint64_t id = 0;
+  std::map<std::uint64_t, std::size_t> owner;
+  std::function<void()> serve = [&] {
+    while (busy < kSlots) {
+      for (const QueuedRequest& late : queue->TakeLate(agenda.Now())) {
+        owner.erase(late.id);
+      }
+      const auto next = queue->Pop(agenda.Now());
+      if (!next) {
+        return;
+      }
+      ++busy;
+      const std::size_t account = owner[next->id];
+      std::exponential_distribution<double> work(1 / kWorkSeconds);
+      const auto time =
+        std::chrono::duration_cast<Duration>(Seconds(work(random)));
+      agenda.At(agenda.Now() + time, [&, account] {
+        --busy;
+        ++served[account];
+        serve();
+      });
+    }
+  };
+  std::function<void(std::size_t)> arrive = [&](std::size_t aAccount) {
+    const double factor = aAccount == 0 ? aAggressor : 0.95;
+    if (factor == 0) {
+      return;
+    }
+    std::exponential_distribution<double> gap(rate * factor);
+    const auto wait =
+      std::chrono::duration_cast<Duration>(Seconds(gap(random)));
+    agenda.At(agenda.Now() + wait, [&, aAccount] {
+      ++sent[aAccount];
+      owner[++id] = aAccount;
+      queue->Push({ id,
+                    "account-" + std::to_string(aAccount),
+                    agenda.Now() + std::chrono::seconds(2) });
+      serve();
+      arrive(aAccount);
+    });
+  };
+  for (std::size_t account = 0; account < kAccounts; ++account) {
+    arrive(account);
+  }
+  agenda.RunUntil(agenda.Now() + std::chrono::seconds(120));
+  double worst = 1;
+  for (std::size_t account = 1; account < kAccounts; ++account) {
+    worst = std::min(worst,
+                     static_cast<double>(served[account]) /
+                       static_cast<double>(sent[account]));
+  }
+  return { { "queue", aQueue },
+           { "aggressor", aAggressor },
+           { "worst_goodput", worst } };
+}
+
+/// Refusals within rate: accounts at 95% of their rate over many daemons.
+json
+MeasureLimits(const std::string& aKind, std::uint64_t aSeed)
+{
+  Random random(aSeed);
+  constexpr std::size_t kDaemons = 40;
+  const std::vector<Account> accounts = { { "large", 200, 100 },
+                                          { "middle", 40, 30 },
+                                          { "small", 4, 4 } };
+  std::size_t sent = 0;
+  std::size_t refused = 0;
+  TimePoint now{ std::chrono::hours(1) };
+  for (const Account& account : accounts) {
+    BudgetHolder holder;
+    std::vector<BudgetHolder> parts(kDaemons);
+    std::exponential_distribution<double> gap(account.rate * 0.95);
+    // Skewed: a daemon takes twice as much as the one after the next three.
+    std::vector<double> weights;
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      weights.push_back(std::exp2(-static_cast<double>(i) / 4));
+    }
+    std::discrete_distribution<std::size_t> draw(weights.begin(),
+                                                 weights.end());
+    const TimePoint begin = now;
+    double level = account.burst;
+    TimePoint last = now;
+    std::uint64_t question = 0;
+    for (int i = 0; i < 40000; ++i) {
+      now += std::chrono::duration_cast<Duration>(Seconds(gap(random)));
+      level =
+        std::min(account.burst, level + ToSeconds(now - last) * account.rate);
+      last = now;
+      // Within rate is judged by what the account was given so far.
+      const bool within = level >= 1;
+      const std::size_t daemon = draw(random);
+      bool granted = false;
+      if (aKind == "holder") {
+        holder.Expire(now);
+        granted = holder
+                    .Ask(account,
+                         ++question,
+                         begin - std::chrono::hours(1),
+                         TimePoint::max(),
+                         now)
+                    .granted;
+      } else {
+        Account part = account;
+        part.rate /= kDaemons;
+        part.burst = std::max(1 + part.rate * ToSeconds(kGrantLife),
+                              account.burst / kDaemons);
+        parts[daemon].Expire(now);
+        granted = parts[daemon]
+                    .Ask(part,
+                         ++question,
+                         begin - std::chrono::hours(1),
+                         TimePoint::max(),
+                         now)
+                    .granted;
+      }
+      level -= granted ? 1 : 0;
+      sent += within ? 1 : 0;
+      refused += within && !granted ? 1 : 0;
+    }
+  }
+  return { { "kind", aKind },
+           { "sent_within_rate", sent },
+           { "refused_within_rate", refused },
+           { "share",
+             static_cast<double>(refused) / static_cast<double>(sent) } };
+}
+
+/// Attempts in a full outage of a service.
+json
+MeasureOutage(const std::string& aRetry)
+{
+  auto policy = RetryRegistry::Make(aRetry);
+  const TimePoint now{ std::chrono::hours(1) };
+  constexpr std::size_t kRequests = 20000;
+  std::size_t attempts = 0;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    policy->OnRequest(now);
+    std::uint32_t made = 1;
+    while (policy->TakeExtra(made, now + std::chrono::seconds(1), now)) {
+      ++made;
+    }
+    attempts += made;
+  }
+  return { { "retry", aRetry },
+           { "attempts_per_request",
+             static_cast<double>(attempts) / kRequests } };
+}
+
+/// A caller that repeats what timed out, with and without claims.
+json
+MeasureRunOnce(bool aClaims, std::uint64_t aSeed)
+{
+  // As the paper describes it, a repeat restarts the whole action: the
+  // request ran, its answer was lost, and the caller sends it again.
+  Random random(aSeed);
+  std::uniform_real_distribution<double> draw(0, 1);
+  ClaimTable table(std::chrono::minutes(10));
+  TimePoint now{ std::chrono::hours(1) };
+  std::size_t doubled = 0;
+  constexpr std::size_t kActions = 10000;
+  std::uint64_t ask = 0;
+  for (std::size_t i = 0; i < kActions; ++i) {
+    int runs = 0;
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      now += Milliseconds(10);
+      Claim claim;
+      claim.id = ClaimIdOf("a", std::to_string(i));
+      claim.ask = ++ask;
+      const bool runs_now =
+        !aClaims || table.Ask(claim, now).verdict == ClaimVerdict::Granted;
+      runs += runs_now ? 1 : 0;
+      const bool answer_lost = draw(random) < 0.02;
+      if (!answer_lost) {
+        if (aClaims && runs_now) {
+          table.Finish(claim.id, claim.ask, ClaimState::Done, {});
+        }
+        break;
+      }
+    }
+    doubled += runs > 1 ? 1 : 0;
+  }
+  return { { "claims", aClaims },
+           { "actions", kActions },
+           { "run_twice", doubled } };
+}
+
+int
+Run(std::size_t aSeeds)
+{
+  json out;
+  for (const char* name :
+       { "probe-only", "consecutive-failures", "peer-comparison" }) {
+    out["gray"].push_back(MeasureGray(name, aSeeds));
+  }
+  for (const char* name : { "fixed-latency", "peer-comparison" }) {
+    out["mistakes"].push_back(MeasureMistakes(name, 1));
+    out["mistakes_at_90"].push_back(MeasureMistakesAt90(name, 1));
+  }
+  for (const char* name : { "consecutive-failures", "peer-comparison" }) {
+    out["flapping"].push_back(MeasureFlapping(name, 1));
+  }
+  out["reads"].push_back(MeasureReads("hedge", false, 1));
+  for (const char* name : { "none", "retry", "hedge" }) {
+    out["reads"].push_back(MeasureReads(name, true, 1));
+  }
+  for (const char* name : { "first-come", "fair" }) {
+    out["fairness"].push_back(MeasureFairness(name, 0, 1));
+    out["fairness"].push_back(MeasureFairness(name, 5, 1));
+  }
+  for (const char* name : { "static", "holder" }) {
+    out["limits"].push_back(MeasureLimits(name, 1));
+  }
+  for (const char* name : { "fixed-attempts", "budget" }) {
+    out["outage"].push_back(MeasureOutage(name));
+  }
+  out["run_once"].push_back(MeasureRunOnce(false, 1));
+  out["run_once"].push_back(MeasureRunOnce(true, 1));
+  std::cout << out.dump(2) << "\n";
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  namespace po = boost::program_options;
+  std::size_t seeds = 10;
+  po::options_description text("policy-bench: measures the decisions as JSON");
+  text.add_options()("help,h", "show this text")(
+    "seeds", po::value(&seeds), "runs of each gray failure");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aCount, aArguments, text), values);
+    po::notify(values);
+    if (values.count("help") != 0) {
+      std::cout << text;
+      return 0;
+    }
+    return Run(seeds);
+  } catch (const std::exception& error) {
+    std::cerr << "policy-bench: " << error.what() << "\n";
+    return 1;
+  }
+}
--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -71,6 +71,12 @@
 EntrySettings
 LoadEntrySettings(const std::string& aFile);
 
+/// @brief Reads and checks settings that are held in memory.
+/// @param aName Name for errors.
+/// @throws ConfigError as LoadEntrySettings does.
+EntrySettings
+ReadEntrySettings(const std::string& aName, const std::string& aText);
+
 } // namespace sapphirelane
 
 #endif // SAPPHIRELANE_CONFIG_SETTINGS_H
--- a/include/sapphirelane/routing/ejector.h
+++ b/include/sapphirelane/routing/ejector.h
@@ -82,11 +82,13 @@
 /// @brief Options of the peer-comparison ejector.
 struct PeerComparisonOptions
 {
-  Duration window = Milliseconds(2000); ///< Evidence older than this fades.
-  double bad_share = 0.5;  ///< Share of bad results that makes a suspect.
-  double least_bad = 3;    ///< Bad results needed in the window.
-  double contrast = 3;     ///< Times worse than the rest of the service.
-  double stall_factor = 8; ///< Stall threshold in service latencies.
+  Duration window = Milliseconds(1000); ///< Evidence older than this fades.
+  double least_bad = 6;      ///< Cumulative sum that makes a suspect.
+  double good_weight = 0.8;  ///< What a good result takes off that sum.
+  double contrast = 3;       ///< Times worse than the rest of the service.
+  double most_strain = 0.02; ///< Bad share of the others above which the
+                             ///< service is short of slots, not one endpoint.
+  double stall_factor = 8;   ///< Stall threshold in service latencies.
   Duration least_stall = Milliseconds(200);
   Duration most_stall = Milliseconds(2000);
   Duration first_ejection = Milliseconds(5000);
@@ -99,9 +101,10 @@
 
 /// @brief Compares an endpoint's real work with the rest of its service.
 ///
-/// An endpoint is a suspect when most of its recent work stalled or failed,
-/// and that is several times worse than the other endpoints together, so that
-/// a fault of the whole service ejects nobody. Each new ejection of the same
+/// An endpoint is a suspect when the cumulative sum of its bad results, less
+/// the good ones, grows, and its share of bad results is several times that of
+/// the other endpoints together, so that a fault of the whole service ejects
+/// nobody. Each new ejection of the same
 /// endpoint lasts twice as long, and ends only after good trials.
 std::unique_ptr<Ejector>
 MakePeerComparison(PeerComparisonOptions aOptions);
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -80,41 +80,52 @@
   aReader.Finish();
 }
 
-} // namespace
-
 EntrySettings
-LoadEntrySettings(const std::string& aFile)
+ReadSettings(YamlReader aReader)
 {
-  YamlReader reader = YamlReader::OpenFile(aFile);
   EntrySettings settings;
-  settings.host = reader.Required("host");
-  settings.data_centre = reader.Required("data_centre");
-  ReadListen(reader.Map("listen"), settings.listen);
-  reader.Read("static_fleet", settings.static_fleet);
+  settings.host = aReader.Required("host");
+  settings.data_centre = aReader.Required("data_centre");
+  ReadListen(aReader.Map("listen"), settings.listen);
+  aReader.Read("static_fleet", settings.static_fleet);
   if (!settings.static_fleet.empty()) {
     settings.platform.adapter = "memory";
   }
-  ReadPlatform(reader.Map("platform"), settings.platform);
-  settings.seeds = reader.TextList("seeds");
+  ReadPlatform(aReader.Map("platform"), settings.platform);
+  settings.seeds = aReader.TextList("seeds");
   for (const std::string& seed : settings.seeds) {
     if (!IsAddress(seed)) {
-      reader.Refuse("seeds", "a list of ip:port");
+      aReader.Refuse("seeds", "a list of ip:port");
     }
   }
-  settings.fleet_secret = reader.Required("fleet_secret");
+  settings.fleet_secret = aReader.Required("fleet_secret");
   if (settings.fleet_secret.size() < kLeastSecretLength) {
-    reader.Refuse("fleet_secret", "at least 16 characters");
+    aReader.Refuse("fleet_secret", "at least 16 characters");
   }
-  settings.operator_digest = reader.Required("operator_digest");
+  settings.operator_digest = aReader.Required("operator_digest");
   if (settings.operator_digest.size() != kDigestLength) {
-    reader.Refuse("operator_digest", "64 hexadecimal digits");
+    aReader.Refuse("operator_digest", "64 hexadecimal digits");
   }
-  reader.Read("log", settings.log);
-  reader.Read("drain_ms", settings.drain, Milliseconds(0), kOneHour);
-  ReadLimits(reader.Map("limits"), settings.limits);
-  ReadPolicies(reader.Map("policies"), settings.policies);
-  reader.Finish();
+  aReader.Read("log", settings.log);
+  aReader.Read("drain_ms", settings.drain, Milliseconds(0), kOneHour);
+  ReadLimits(aReader.Map("limits"), settings.limits);
+  ReadPolicies(aReader.Map("policies"), settings.policies);
+  aReader.Finish();
   return settings;
 }
 
+} // namespace
+
+EntrySettings
+LoadEntrySettings(const std::string& aFile)
+{
+  return ReadSettings(YamlReader::OpenFile(aFile));
+}
+
+EntrySettings
+ReadEntrySettings(const std::string& aName, const std::string& aText)
+{
+  return ReadSettings(YamlReader::OpenText(aName, aText));
+}
+
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -925,9 +925,9 @@
     if (aNow - aService.shared < kSharePeriod) {
       return;
     }
+    aService.shared = aNow;
     const auto evidence = aService.state->TakeEvidence(aNow);
     if (evidence) {
-      aService.shared = aNow;
       m_control.ShareEvidence(*evidence, aNow);
     }
   }
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -246,6 +246,10 @@
 ServiceState::TakeEvidence(TimePoint /*aNow*/)
 {
   if (!m_badEvidence) {
+    // Good work of long ago tells nothing of an endpoint's present health.
+    for (auto& entry : m_endpoints) {
+      entry.second.evidence = {};
+    }
     return std::nullopt;
   }
   FleetEvidence evidence;
--- a/src/sapphirelane/routing/ejector.cpp
+++ b/src/sapphirelane/routing/ejector.cpp
@@ -59,6 +59,7 @@
     const bool good = aObservation.result == WorkResult::Answered;
     FadingCount& counter = good ? state.good : state.bad;
     counter.Add(aObservation.count, m_options.window, aNow);
+    NoteScore(state, good, aObservation.count);
     if (good && aObservation.elapsed > Duration::zero()) {
       NoteLatency(state, aObservation.elapsed);
     }
@@ -113,6 +114,7 @@
   {
     FadingCount good;
     FadingCount bad;
+    double score = 0;
     Duration latency{ 0 };
     bool ejected = false;
     TimePoint trial_from{};
@@ -121,6 +123,14 @@
     std::uint32_t good_trials = 0;
   };
 
+  /// Cumulative sum: good work before a change does not delay its detection.
+  void NoteScore(State& aState, bool aGood, std::uint32_t aCount) const
+  {
+    const double step = aGood ? -m_options.good_weight : 1;
+    aState.score = std::max(0.0, aState.score + step * aCount);
+    aState.score = std::min(aState.score, 2 * m_options.least_bad);
+  }
+
   static void NoteLatency(State& aState, Duration aElapsed)
   {
     constexpr double kWeight = 0.1;
@@ -176,6 +186,7 @@
     state.ended = aNow;
     state.good.Clear();
     state.bad.Clear();
+    state.score = 0;
     aChanges.push_back({ aEndpoint, false, "its trials succeeded" });
   }
 
@@ -200,8 +211,9 @@
       const double bad = state.bad.At(m_options.window, aNow);
       member.badness = bad;
       member.suspect =
-        state.ejected || (endpoint.in_service_for >= m_options.cold_start &&
-                          IsSuspect(good, bad, allGood - good, allBad - bad));
+        state.ejected ||
+        (endpoint.in_service_for >= m_options.cold_start &&
+         IsSuspect(state.score, good, bad, allGood - good, allBad - bad));
       if (state.ejected) {
         // Stays out before any new suspect is considered.
         constexpr double kEjectedAlready = 1e12;
@@ -212,18 +224,19 @@
     return members;
   }
 
-  bool IsSuspect(double aGood,
+  bool IsSuspect(double aScore,
+                 double aGood,
                  double aBad,
                  double aOthersGood,
                  double aOthersBad) const
   {
-    if (aBad < m_options.least_bad) {
+    if (aScore < m_options.least_bad || aBad <= 0) {
       return false;
     }
     const double share = aBad / (aGood + aBad);
     const double others = aOthersGood + aOthersBad;
     const double othersShare = others > 0 ? aOthersBad / others : 0;
-    return share >= m_options.bad_share &&
+    return othersShare <= m_options.most_strain &&
            share >= m_options.contrast * othersShare;
   }
 
@@ -303,8 +316,12 @@
   {
     std::vector<FloorMember> members;
     for (const JudgedEndpoint& endpoint : aEndpoints) {
-      const State& state = m_states[endpoint.id];
+      State& state = m_states[endpoint.id];
       const bool held = state.ejected && aNow < state.until;
+      if (state.ejected && !held) {
+        // What came in while it was out tells nothing of its state now.
+        state.run = 0;
+      }
       members.push_back({ endpoint.id,
                           endpoint.slots,
                           endpoint.available,
