Refuse truth values other than 0 and 1 in peer messages

Cause: fuzz-peer found bytes that decode and are encoded in another way: a truth value of 22 was read as true. Ruled out: sizes, which are checked.

--- a/src/sapphirelane/wire/bounded_archive.h
+++ b/src/sapphirelane/wire/bounded_archive.h
@@ -59,7 +59,10 @@
   if constexpr (std::is_same<Number, bool>::value) {
     std::uint8_t byte = 0;
     aArchive.LoadBytes(&byte, sizeof byte);
-    aNumber = byte != 0;
+    if (byte > 1) {
+      throw WireError("message has a truth value of " + std::to_string(byte));
+    }
+    aNumber = byte == 1;
   } else {
     aArchive.LoadBytes(&aNumber, sizeof aNumber);
   }
--- a/src/sapphirelane/wire/codec_test.cpp
+++ b/src/sapphirelane/wire/codec_test.cpp
@@ -56,6 +56,14 @@
   CHECK_THROWS_AS(DecodeBulk(bytes), WireError);
 }
 
+TEST_CASE_METHOD(WireFixture, "Codec, a truth value of 22, is refused")
+{
+  // Found by fuzzing: it decoded, and was encoded in another way.
+  std::string bytes = EncodeMessage(TokenAnswer{ 1, true });
+  bytes[bytes.size() - 10] = 22;
+  CHECK_THROWS_AS(DecodeMessage(bytes), WireError);
+}
+
 TEST_CASE_METHOD(WireFixture, "Codec, any bytes, decode or are refused")
 {
   rc::prop("no other outcome", [](const std::string& aBytes) {
