--- a/include/sapphirelane/membership/node.h
+++ b/include/sapphirelane/membership/node.h
@@ -10,6 +10,7 @@
 #include "sapphirelane/membership/fleet_control.h"
 #include "sapphirelane/membership/head_writer.h"
 #include "sapphirelane/membership/node_env.h"
+#include "sapphirelane/membership/withdrawal_desk.h"
 
 namespace sapphirelane {
 
@@ -42,15 +43,6 @@
   std::size_t withdrawals = 0;
 };
 
-/// @brief How far a withdrawal has come.
-struct WithdrawResult
-{
-  std::size_t in_force = 0; ///< Daemons that have acknowledged it.
-  std::size_t members = 0;
-  bool kept = false; ///< The configuration has taken it over.
-  std::string detail;
-};
-
 /// @brief One daemon's share of the fleet's control; a state machine.
 ///
 /// Holds no thread and no clock. The world is behind NodeEnv; whatever comes
@@ -81,10 +73,9 @@
                        HeadWriter::Done aDone) = 0;
 
   /// @brief Withdraws a key at once; the result follows within seconds.
-  virtual void Withdraw(
-    const std::string& aKeyId,
-    TimePoint aNow,
-    std::function<void(const WithdrawResult&, TimePoint)> aDone) = 0;
+  virtual void Withdraw(const std::string& aKeyId,
+                        TimePoint aNow,
+                        WithdrawalDesk::Done aDone) = 0;
 
   virtual NodeStatus Status(TimePoint aNow) = 0;
   virtual const std::optional<Head>& CurrentHead() const = 0;
--- a/scripts/measure_processes.py
+++ b/scripts/measure_processes.py
@@ -124,7 +124,8 @@
     while waiting and time.monotonic() - begin < 15:
         for name in list(waiting):
             text = http("GET", fleet.operators(name), "/metrics")[1]
-            found = re.search(r"sapphirelane_config_version (\S+)", text)
+            found = re.search(r"^sapphirelane_config_version (\S+)", text,
+                              re.M)
             if found and float(found.group(1)) >= version:
                 waiting.discard(name)
     return time.monotonic() - begin
--- a/src/sapphirelane/membership/node.cpp
+++ b/src/sapphirelane/membership/node.cpp
@@ -7,11 +7,12 @@
 #include "sapphirelane/membership/claim_desk.h"
 #include "sapphirelane/membership/evidence_asker.h"
 #include "sapphirelane/membership/evidence_board.h"
+#include "sapphirelane/membership/map_proposer.h"
 #include "sapphirelane/membership/ring_monitor.h"
 #include "sapphirelane/membership/shard_keeper.h"
 #include "sapphirelane/membership/timings.h"
 #include "sapphirelane/membership/token_desk.h"
-#include "sapphirelane/membership/withdrawals.h"
+#include "sapphirelane/membership/withdrawal_desk.h"
 #include "sapphirelane/wire/codec.h"
 
 namespace sapphirelane {
@@ -20,8 +21,6 @@
 
 constexpr Milliseconds kHostListPeriod{ 5000 };
 constexpr Milliseconds kCollectPeriod{ 300 };
-constexpr Milliseconds kWithdrawPatience{ 1500 };
-constexpr Milliseconds kKeepWithdrawalsPeriod{ 2000 };
 constexpr Milliseconds kStopPatience{ 3000 };
 
 /// New members wait this long, so that one write can name several of them.
@@ -51,7 +50,7 @@
         },
         [this](const std::vector<Withdrawal>& aWithdrawals, TimePoint) {
           for (const Withdrawal& withdrawal : aWithdrawals) {
-            AddWithdrawal(withdrawal);
+            m_withdrawals.Add(withdrawal);
           }
         })
     , m_evidence(m_keeper,
@@ -66,6 +65,14 @@
     , m_shards(aOptions.self.id, aOptions.dedup_window)
     , m_tokens(m_keeper, m_shards, m_peers, m_random)
     , m_claims(m_keeper, m_shards, m_peers, m_random, aOptions.dedup_window)
+    , m_withdrawals(m_keeper,
+                    m_writer,
+                    m_peers,
+                    m_random,
+                    [this](const std::set<std::string>& aDigests) {
+                      m_keys.SetWithdrawn(aDigests);
+                    })
+    , m_proposer(aOptions.self.id, m_ring, m_shards, m_peers)
   {
   }
 
@@ -183,7 +190,7 @@
   {
     if (const auto* fetch = std::get_if<FetchState>(&aRequest)) {
       StateReply reply = m_keeper.Serve(*fetch);
-      reply.withdrawals = m_withdrawals.All();
+      reply.withdrawals = m_withdrawals.Pending();
       return reply;
     }
     if (const auto* collect = std::get_if<CollectClaims>(&aRequest)) {
@@ -210,8 +217,7 @@
     ReadHostList(aNow);
     KeepMap(aNow);
     CollectMissingClaims(aNow);
-    KeepWithdrawals(aNow);
-    EndWithdrawals(aNow);
+    m_withdrawals.Tick(m_evidence.StoreAnswers(), aNow);
   }
 
   // Operators.
@@ -223,32 +229,11 @@
     m_writer.WriteChange(aChange, aNow, std::move(aDone));
   }
 
-  void Withdraw(
-    const std::string& aKeyId,
-    TimePoint aNow,
-    std::function<void(const WithdrawResult&, TimePoint)> aDone) override
+  void Withdraw(const std::string& aKeyId,
+                TimePoint aNow,
+                WithdrawalDesk::Done aDone) override
   {
-    const FleetConfig* config = m_keeper.Config();
-    auto key = config == nullptr ? decltype(config->keys.end()){}
-                                 : config->keys.find(aKeyId);
-    if (config == nullptr || key == config->keys.end()) {
-      WithdrawResult result;
-      result.detail = "key \"" + aKeyId + "\" does not exist";
-      aDone(result, aNow);
-      return;
-    }
-    const Withdrawal withdrawal{ key->second.digest, aKeyId, config->version };
-    AddWithdrawal(withdrawal);
-    OpenWithdrawal open;
-    open.nonce = m_random() | 1U;
-    open.until = aNow + kWithdrawPatience;
-    open.withdrawal = withdrawal;
-    open.done = std::move(aDone);
-    for (NodeId member : m_peers.Others()) {
-      m_peers.Send(member, WithdrawNews{ open.nonce, { withdrawal } });
-    }
-    m_openWithdrawals.push_back(std::move(open));
-    m_nextKeep = aNow;
+    m_withdrawals.Withdraw(aKeyId, aNow, std::move(aDone));
   }
 
   NodeStatus Status(TimePoint aNow) override
@@ -262,7 +247,7 @@
     status.store_answers = m_evidence.StoreAnswers();
     status.shards_held = m_shards.Held(aNow);
     status.claims = m_claims.Size();
-    status.withdrawals = m_withdrawals.All().size();
+    status.withdrawals = m_withdrawals.Pending().size();
     if (head) {
       status.seq = head->seq;
       status.config_version = head->config_version;
@@ -316,15 +301,6 @@
   }
 
 private:
-  struct OpenWithdrawal
-  {
-    std::uint64_t nonce = 0;
-    TimePoint until{};
-    Withdrawal withdrawal;
-    std::set<NodeId> acknowledged;
-    std::function<void(const WithdrawResult&, TimePoint)> done;
-  };
-
   // Heads.
 
   void OnAdopted(const std::optional<Head>& aEarlier, TimePoint aNow)
@@ -340,9 +316,8 @@
       LogLine("config",
               "Takes over version " + std::to_string(head.config_version) +
                 " with head " + std::to_string(head.seq) + ".");
-      m_withdrawals.OnConfig(*m_keeper.Config());
       m_keys.Load(*m_keeper.Config());
-      m_keys.SetWithdrawn(m_withdrawals.Digests());
+      m_withdrawals.OnConfig();
     }
     LoadMap(aEarlier, head, aNow);
     m_left = m_stopping && FindMember(head, m_options.self.id) == nullptr;
@@ -457,7 +432,7 @@
       m_shards.Retire(retired);
     }
     for (const Withdrawal& withdrawal : aBeat.withdrawals) {
-      AddWithdrawal(withdrawal);
+      m_withdrawals.Add(withdrawal);
     }
     if (aBeat.seq > m_keeper.Seq()) {
       m_keeper.FetchFrom(aAddress, aNow);
@@ -627,20 +602,7 @@
               const WithdrawNews& aNews,
               TimePoint /*aNow*/)
   {
-    std::vector<Withdrawal> fresh;
-    for (const Withdrawal& withdrawal : aNews.withdrawals) {
-      if (AddWithdrawal(withdrawal)) {
-        fresh.push_back(withdrawal);
-      }
-    }
-    if (aNews.nonce != 0) {
-      m_env.Send(aAddress, WithdrawAck{ aNews.nonce });
-    }
-    if (!fresh.empty()) {
-      for (NodeId member : m_peers.Draw(kNewsFanOut)) {
-        m_peers.Send(member, WithdrawNews{ 0, fresh });
-      }
-    }
+    m_withdrawals.OnNews(aAddress, aNews, m_env);
   }
 
   void Handle(NodeId aFrom,
@@ -648,11 +610,7 @@
               const WithdrawAck& aAck,
               TimePoint /*aNow*/)
   {
-    for (OpenWithdrawal& open : m_openWithdrawals) {
-      if (open.nonce == aAck.nonce) {
-        open.acknowledged.insert(aFrom);
-      }
-    }
+    m_withdrawals.OnAck(aFrom, aAck);
   }
 
   /// Passes a message on to its target, or opens it as the target.
@@ -716,7 +674,7 @@
     Heartbeat beat;
     beat.self = m_options.self;
     beat.seq = m_keeper.Seq();
-    beat.withdrawals = m_withdrawals.All();
+    beat.withdrawals = m_withdrawals.Pending();
     const auto& head = m_keeper.Current();
     const bool member = head && FindMember(*head, m_options.self.id) != nullptr;
     beat.joins = m_options.joins && !m_stopping && !member;
@@ -778,7 +736,8 @@
     const auto orphan = m_seat.OldestAge(aNow);
     const bool orphaned =
       orphan && *orphan > kOrphanAge && m_evidence.StoreAnswers();
-    if (!orphaned && !(m_evidence.StoreAnswers() && WantsNewMap(aNow))) {
+    if (!orphaned &&
+        !(m_evidence.StoreAnswers() && m_proposer.Wants(head, Stop(), aNow))) {
       return;
     }
     // A daemon without a head waits for the platform to show one, so that it
@@ -788,7 +747,7 @@
     }
     m_writer.WriteHead(
       [this, orphaned](const Head& aBase, TimePoint aThen) {
-        return NextHead(aBase, orphaned, aThen);
+        return m_proposer.Next(aBase, Stop(), orphaned, aThen);
       },
       aNow,
       [this](const WriteResult& aResult, TimePoint aThen) {
@@ -811,71 +770,7 @@
     return Milliseconds(m_random() % most);
   }
 
-  bool WantsNewMap(TimePoint aNow)
-  {
-    const auto& head = m_keeper.Current();
-    if (!head) {
-      return true;
-    }
-    const bool member = FindMember(*head, m_options.self.id) != nullptr;
-    if (member == m_stopping) {
-      return true;
-    }
-    if (m_stopping) {
-      return false;
-    }
-    const auto proposers = m_ring.Proposers(aNow);
-    const bool proposes =
-      std::find(proposers.begin(), proposers.end(), m_options.self.id) !=
-      proposers.end();
-    return proposes &&
-           (!m_ring.Dead(aNow).empty() || !m_shards.Retired().empty() ||
-            !m_peers.Strangers(aNow).empty());
-  }
-
-  std::optional<Head> NextHead(const Head& aBase,
-                               bool aOrphaned,
-                               TimePoint aNow)
-  {
-    std::vector<MemberInfo> joining;
-    std::vector<Departed> leaving;
-    const bool member = FindMember(aBase, m_options.self.id) != nullptr;
-    if (!m_stopping && !member) {
-      joining.push_back(m_options.self);
-    }
-    if (m_stopping && member) {
-      leaving.push_back({ m_options.self.id, 0, ClaimsAreKept() });
-    }
-    for (NodeId dead : m_ring.Dead(aNow)) {
-      if (FindMember(aBase, dead) != nullptr && dead != m_options.self.id) {
-        leaving.push_back({ dead, 0, false });
-      }
-    }
-    for (NodeId retired : m_shards.Retired()) {
-      const bool listed = std::any_of(
-        leaving.begin(), leaving.end(), [retired](const Departed& aOne) {
-          return aOne.id == retired;
-        });
-      if (!listed && FindMember(aBase, retired) != nullptr) {
-        // Its shards are handed over, but whether all of its claims are is
-        // known to itself alone.
-        leaving.push_back({ retired, 0, false });
-      }
-    }
-    if (!m_stopping) {
-      for (const MemberInfo& stranger : m_peers.Strangers(aNow)) {
-        if (FindMember(aBase, stranger.id) == nullptr) {
-          joining.push_back(stranger);
-        }
-      }
-    }
-    if (joining.empty() && leaving.empty()) {
-      return aOrphaned ? std::optional<Head>(aBase) : std::nullopt;
-    }
-    Head base = aBase;
-    base.departed = m_shards.StillDeparted(aBase, aNow);
-    return WithMembers(base, joining, leaving);
-  }
+  StopState Stop() const { return { m_stopping, ClaimsAreKept() }; }
 
   /// Tells whether the claims of a stopping daemon are safe with others.
   bool ClaimsAreKept() const
@@ -929,75 +824,6 @@
     }
   }
 
-  // Withdrawals.
-
-  bool AddWithdrawal(const Withdrawal& aWithdrawal)
-  {
-    const FleetConfig* config = m_keeper.Config();
-    const bool known = !m_withdrawals.Add(aWithdrawal);
-    if (config != nullptr) {
-      m_withdrawals.OnConfig(*config);
-    }
-    if (known || m_withdrawals.Digests().count(aWithdrawal.digest) == 0) {
-      return false;
-    }
-    m_keys.SetWithdrawn(m_withdrawals.Digests());
-    LogLine("key",
-            "Key " + aWithdrawal.key_id +
-              " is withdrawn ahead of the configuration.");
-    return true;
-  }
-
-  /// Has pending withdrawals written once the platform answers.
-  void KeepWithdrawals(TimePoint aNow)
-  {
-    if (m_withdrawals.Empty() || aNow < m_nextKeep || m_writer.IsBusy()) {
-      return;
-    }
-    m_nextKeep = aNow + kKeepWithdrawalsPeriod + 4 * Jitter();
-    const FleetConfig* config = m_keeper.Config();
-    if (config == nullptr || !m_evidence.StoreAnswers()) {
-      return;
-    }
-    ChangeSet change;
-    change.id = "withdraw-" + std::to_string(m_random());
-    change.author = "withdrawal";
-    change.rows = m_withdrawals.Changes(*config);
-    if (change.rows.empty()) {
-      return;
-    }
-    m_writer.WriteChange(
-      change, aNow, [](const WriteResult& aResult, TimePoint) {
-        LogLine("key",
-                aResult.verdict == WriteVerdict::Accepted
-                  ? std::string("Withdrawals are kept.")
-                  : "Withdrawals are not kept yet: " + aResult.detail + ".");
-      });
-  }
-
-  void EndWithdrawals(TimePoint aNow)
-  {
-    for (std::size_t i = 0; i < m_openWithdrawals.size();) {
-      OpenWithdrawal& open = m_openWithdrawals[i];
-      const std::size_t members = m_peers.Others().size();
-      const bool kept =
-        m_withdrawals.Digests().count(open.withdrawal.digest) == 0;
-      const bool everywhere = open.acknowledged.size() >= members;
-      if (aNow < open.until && !(everywhere && kept)) {
-        ++i;
-        continue;
-      }
-      WithdrawResult result;
-      result.in_force = open.acknowledged.size() + 1;
-      result.members = members + 1;
-      result.kept = kept;
-      const auto done = std::move(open.done);
-      m_openWithdrawals.erase(m_openWithdrawals.begin() +
-                              static_cast<std::ptrdiff_t>(i));
-      done(result, aNow);
-    }
-  }
-
   NodeOptions m_options;
   NodeEnv& m_env;
   Random m_random;
@@ -1013,17 +839,16 @@
   TokenDesk m_tokens;
   ClaimDesk m_claims;
   EvidenceBoard m_board;
-  Withdrawals m_withdrawals;
+  WithdrawalDesk m_withdrawals;
+  MapProposer m_proposer;
   KeyDirectory m_keys;
   std::vector<ControlEvent> m_events;
   std::vector<std::pair<NodeId, HandOver>> m_pendingHandOvers;
-  std::vector<OpenWithdrawal> m_openWithdrawals;
   std::set<NodeId> m_collecting;
   TimePoint m_nextBeat{};
   TimePoint m_nextHostList{};
   TimePoint m_nextMap{};
   TimePoint m_nextCollect{};
-  TimePoint m_nextKeep{};
   bool m_answersAround = false;
   bool m_stopping = false;
   bool m_left = false;
