--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -40,7 +40,7 @@
         words = dict(line.split(": ") for line in out.splitlines())
         self.credential = words["credential"]
         self.digest = words["operator_digest"]
-        self.start("platform", "standin-platform", "--port", platform_port)
+        self.start_with("platform", "standin-platform", port=platform_port)
         self.names = [f"entry-{i + 1}" for i in range(daemons)]
         self.write_settings()
 
@@ -76,15 +76,21 @@
         self.children[key] = subprocess.Popen(
             [BIN / program, *map(str, arguments)], stdout=error, stderr=error)
 
+    def start_with(self, key, program, **settings):
+        """Starts a stand-in with a settings file."""
+        path = self.folder / f"{key}.yaml"
+        path.write_text("".join(f"{k}: {v}\n" for k, v in settings.items()))
+        self.start(key, program, "--settings", path)
+
     def start_daemon(self, name):
         log = self.folder / f"{name}.log"
         log.unlink(missing_ok=True)
         self.start(name, "sapphirelane-entry", "--settings",
                    self.folder / f"{name}.yaml")
 
-    def start_upstreams(self, key, first, endpoints, control, *options):
-        self.start(key, "standin-upstream", "--control", control,
-                   "--first-port", first, "--endpoints", endpoints, *options)
+    def start_upstreams(self, key, first, endpoints, control, **settings):
+        self.start_with(key, "standin-upstream", control=control,
+                        first_port=first, endpoints=endpoints, **settings)
 
     def ctl(self, name, *words, check=True):
         environment = dict(os.environ, SAPPHIRELANE_CREDENTIAL=self.credential)
--- a/scripts/measure_processes.py
+++ b/scripts/measure_processes.py
@@ -30,8 +30,8 @@
 
 def start(daemons, accounts):
     fleet = Fleet(tempfile.mkdtemp(prefix="sapphirelane-measure-"), daemons)
-    fleet.start_upstreams("upstreams", 19301, 24, 19300, "--slots", 50,
-                          "--work-ms", 5)
+    fleet.start_upstreams("upstreams", 19301, 24, 19300, slots=50,
+                          work_ms=5)
     for name in fleet.names:
         fleet.start_daemon(name)
     fleet.await_ready(patience=60)
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -7,23 +7,20 @@
 #include <microhttpd.h>
 
 #include <chrono>
-#include <csignal>
 #include <deque>
-#include <iostream>
 #include <map>
 #include <mutex>
 #include <random>
 #include <thread>
 
-#include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
+#include "program.h"
 #include "sapphirelane/base/error.h"
 #include "sapphirelane/base/time.h"
 
 namespace {
 
-namespace po = boost::program_options;
 using nlohmann::json;
 using sapphirelane::Clock;
 using sapphirelane::Milliseconds;
@@ -252,12 +249,7 @@
 int
 Serve(std::uint16_t aPort)
 {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  const standins::StopSignals stop;
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(aPort);
@@ -281,31 +273,9 @@
   if (daemon == nullptr) {
     throw sapphirelane::Error("cannot listen on port " + std::to_string(aPort));
   }
-  int signal = 0;
-  sigwait(&signals, &signal);
+  stop.Await();
   MHD_stop_daemon(daemon);
-  return 0;
-}
-
-int
-Run(int aCount, char** aArguments)
-{
-  std::uint16_t port = 9200;
-  po::options_description text("standin-platform: table, objects and hosts");
-  text.add_options()("help,h", "show this text")("version", "show the version")(
-    "port", po::value(&port), "port to listen on");
-  po::variables_map values;
-  po::store(po::parse_command_line(aCount, aArguments, text), values);
-  po::notify(values);
-  if (values.count("help") != 0) {
-    std::cout << text;
-    return 0;
-  }
-  if (values.count("version") != 0) {
-    std::cout << "standin-platform " << SAPPHIRELANE_VERSION << "\n";
-    return 0;
-  }
-  return Serve(port);
+  return standins::kExitOk;
 }
 
 } // namespace
@@ -313,10 +283,13 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
-    return Run(aCount, aArguments);
-  } catch (const std::exception& error) {
-    std::cerr << "standin-platform: " << error.what() << "\n";
-    return 1;
-  }
+  std::uint16_t port = 9200;
+  return standins::RunProgram(
+    aCount,
+    aArguments,
+    "standin-platform",
+    [&](sapphirelane::YamlReader& aReader) {
+      aReader.Read("port", port, 1, UINT16_MAX);
+    },
+    [&] { return Serve(port); });
 }
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -5,9 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
-#include <csignal>
 #include <deque>
-#include <iostream>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -18,16 +16,15 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
-#include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
+#include "program.h"
 #include "sapphirelane/base/error.h"
 #include "sapphirelane/base/hash.h"
 #include "sapphirelane/base/time.h"
 
 namespace {
 
-namespace po = boost::program_options;
 using nlohmann::json;
 using sapphirelane::Clock;
 using sapphirelane::Error;
@@ -535,49 +532,15 @@
 int
 Serve(const Options& aOptions)
 {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  const standins::StopSignals stop;
   std::map<std::uint16_t, std::unique_ptr<Endpoint>> endpoints;
   for (std::uint32_t i = 0; i < aOptions.endpoints; ++i) {
     const auto port = static_cast<std::uint16_t>(aOptions.first_port + i);
     endpoints[port] = std::make_unique<Endpoint>(aOptions, port);
   }
   Control control(aOptions, endpoints);
-  int signal = 0;
-  sigwait(&signals, &signal);
-  return 0;
-}
-
-int
-Run(int aCount, char** aArguments)
-{
-  Options options;
-  int work = 25;
-  po::options_description text("standin-upstream: endpoints of one service");
-  text.add_options()("help,h", "show this text")("version", "show the version")(
-    "control", po::value(&options.control), "control port")(
-    "first-port", po::value(&options.first_port), "port of the first endpoint")(
-    "endpoints", po::value(&options.endpoints), "number of endpoints")(
-    "slots", po::value(&options.slots), "requests in work at the same time")(
-    "queue", po::value(&options.queue), "requests that wait before shedding")(
-    "work-ms", po::value(&work), "mean time of one request");
-  po::variables_map values;
-  po::store(po::parse_command_line(aCount, aArguments, text), values);
-  po::notify(values);
-  if (values.count("help") != 0) {
-    std::cout << text;
-    return 0;
-  }
-  if (values.count("version") != 0) {
-    std::cout << "standin-upstream " << SAPPHIRELANE_VERSION << "\n";
-    return 0;
-  }
-  options.work = Milliseconds(work);
-  return Serve(options);
+  stop.Await();
+  return standins::kExitOk;
 }
 
 } // namespace
@@ -585,10 +548,20 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
-    return Run(aCount, aArguments);
-  } catch (const std::exception& error) {
-    std::cerr << "standin-upstream: " << error.what() << "\n";
-    return 1;
-  }
+  Options options;
+  return standins::RunProgram(
+    aCount,
+    aArguments,
+    "standin-upstream",
+    [&](sapphirelane::YamlReader& aReader) {
+      constexpr std::uint64_t kMost = 100000;
+      aReader.Read("control", options.control, 1, UINT16_MAX);
+      aReader.Read("first_port", options.first_port, 1, UINT16_MAX);
+      aReader.Read("endpoints", options.endpoints, 1, kMost);
+      aReader.Read("slots", options.slots, 1, kMost);
+      aReader.Read("queue", options.queue, 0, kMost);
+      aReader.Read(
+        "work_ms", options.work, Milliseconds(0), Milliseconds(60000));
+    },
+    [&] { return Serve(options); });
 }
