--- a/src/sapphirelane/membership/head_keeper_test.cpp
+++ b/src/sapphirelane/membership/head_keeper_test.cpp
@@ -124,6 +124,19 @@
   CHECK(m_keeper.Seq() == 3);
 }
 
+TEST_CASE_METHOD(HeadKeeperFixture,
+                 "HeadKeeper, a peer's older head of the same version, is not "
+                 "taken")
+{
+  Reach(3);
+  m_keeper.FetchFrom("127.0.0.1:1", m_now);
+  StateReply reply;
+  reply.known = true;
+  reply.head = EncodeHead(HeadOf(2, 3));
+  m_bulk.OnReply(m_env.bulks.back().id, BulkReply(reply), m_now);
+  CHECK(m_keeper.Seq() == 3);
+}
+
 TEST_CASE_METHOD(HeadKeeperFixture,
                  "HeadKeeper, a peer a few versions behind, gets changes; one "
                  "far behind a snapshot")
