Refuse claims that are answered after their claimant has handed its claims over

Cause: a generated schedule ran a key twice. A daemon that stops as planned hands its claims to two others; a claim whose answer came a millisecond later was granted, ran, and was known to its holder alone. The daemon left the map as one whose claims are kept, so the holder's crash within the dedup window let the key run again. Copies and hand-overs that a stopping daemon took in would have left with it in the same way.

Change: from the hand-over on, a daemon gives a late claim back unsent, and keeps neither copies nor hand-overs of others.

--- a/include/sapphirelane/membership/claim_desk.h
+++ b/include/sapphirelane/membership/claim_desk.h
@@ -60,8 +60,11 @@
   std::vector<WireClaim> ClaimsOf(const std::vector<std::uint32_t>& aShards,
                                   TimePoint aNow) const;
 
-  /// @brief All claims remembered, for a planned stop.
-  std::vector<WireClaim> AllClaims(TimePoint aNow) const;
+  /// @brief All claims remembered, to be handed over for a planned stop.
+  ///
+  /// From then on no claim is granted to this daemon and none kept for others,
+  /// as nobody would be told of it.
+  std::vector<WireClaim> Stop(TimePoint aNow);
 
   /// @brief Takes in claims from another daemon.
   void Receive(const std::vector<WireClaim>& aClaims, TimePoint aNow);
@@ -120,6 +123,7 @@
   std::map<AskId, Granted> m_granted;
   std::map<std::uint64_t, Ending> m_endings; ///< By number of the claim.
   std::vector<ClaimResult> m_results;
+  bool m_stopping = false;
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/membership/claim_desk.cpp
+++ b/src/sapphirelane/membership/claim_desk.cpp
@@ -206,6 +206,13 @@
   }
   Open open = found->second;
   m_open.erase(found);
+  if (verdict == ClaimVerdict::Granted && m_stopping) {
+    // Nobody would be asked for it once this daemon has left.
+    open.claim.state = ClaimState::Released;
+    End(open.claim, aNow);
+    m_results.push_back({ ask, { ClaimVerdict::NotReady } });
+    return;
+  }
   if (verdict == ClaimVerdict::Granted) {
     // Remembered before anything is sent.
     open.claim.state = ClaimState::Running;
@@ -397,8 +404,8 @@
   // A holder of an older map may have been replaced already, and the new one
   // may have asked this daemon before.
   const NodeId holder = m_shards.Holder(ShardOf(aCopy.claim.id));
-  answer.kept =
-    aCopy.map_epoch == m_shards.MapEpoch() && holder == aFrom && IsMember();
+  answer.kept = aCopy.map_epoch == m_shards.MapEpoch() && holder == aFrom &&
+                IsMember() && !m_stopping;
   if (answer.kept) {
     m_table.Merge(FromWire(aCopy.claim, aNow));
   }
@@ -421,8 +428,9 @@
 }
 
 std::vector<WireClaim>
-ClaimDesk::AllClaims(TimePoint aNow) const
+ClaimDesk::Stop(TimePoint aNow)
 {
+  m_stopping = true;
   std::vector<WireClaim> wires;
   for (const Claim& claim : m_table.Select([](const Claim&) { return true; })) {
     wires.push_back(ToWire(claim, aNow));
--- a/src/sapphirelane/membership/node.cpp
+++ b/src/sapphirelane/membership/node.cpp
@@ -281,7 +281,7 @@
     HandOver over;
     over.map_epoch = m_shards.MapEpoch();
     over.retires = true;
-    over.claims = m_claims.AllClaims(aNow);
+    over.claims = m_claims.Stop(aNow);
     for (NodeId keeper : keepers) {
       ++m_stopCalls;
       m_bulk.Call(m_peers.AddressOf(keeper),
@@ -383,7 +383,8 @@
 
   bool OnHandOver(NodeId aFrom, const HandOver& aOver, TimePoint aNow)
   {
-    if (!m_keeper.Current()) {
+    // What a daemon takes that stops itself would leave with it.
+    if (!m_keeper.Current() || m_stopping) {
       return false;
     }
     m_claims.Receive(aOver.claims, aNow);
--- a/src/sapphirelane/membership/node_test.cpp
+++ b/src/sapphirelane/membership/node_test.cpp
@@ -2,10 +2,12 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <map>
 
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/base/secret.h"
 #include "sapphirelane/membership/schedule_world.h"
+#include "sapphirelane/membership/shard_map.h"
 
 namespace sapphirelane {
 namespace {
@@ -216,6 +218,41 @@
   CHECK(m_world.RunsOf("a new key") == 1);
 }
 
+TEST_CASE_METHOD(NodeFixture,
+                 "Fleet, a daemon that stops while its claims are answered, "
+                 "leaves every one that ran with two others")
+{
+  // Found by a generated schedule: a claim that was answered after its claimant
+  // had handed its claims over ran, and only its holder knew of it.
+  const auto key = [](int aIndex) { return "stop-" + std::to_string(aIndex); };
+  for (int i = 0; i < 60; ++i) {
+    m_world.RequestClaim(0, key(i));
+  }
+  // The questions are with their holders, the answers on their way.
+  m_world.Advance(Milliseconds(3));
+  m_world.Stop(0);
+  m_world.Advance(std::chrono::seconds(4));
+  REQUIRE_FALSE(m_world.IsAlive(0));
+  REQUIRE(m_world.RunOnceRuns() > 20);
+  CollectClaims all;
+  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+    all.shards.push_back(shard);
+  }
+  std::map<std::string, int> known;
+  for (std::size_t i = 1; i < m_world.Count(); ++i) {
+    const BulkMessage reply =
+      m_world.NodeAt(i).ServeBulk(1, all, m_world.NowAt(i));
+    for (const WireClaim& claim : std::get<ClaimsReply>(reply).claims) {
+      ++known[claim.id];
+    }
+  }
+  for (int i = 0; i < 60; ++i) {
+    INFO(key(i));
+    const bool ran = m_world.RunsOf(key(i)) == 1;
+    CHECK((!ran || known[ClaimIdOf("account", key(i))] >= 2));
+  }
+}
+
 TEST_CASE_METHOD(NodeFixture,
                  "Fleet, two daemons lost within the window, runs nothing "
                  "twice and refuses what it cannot judge")
