Divide a large account's budget into parts with a holder each

Ruled out: a shorter takeover (the wait of 2.5 s is what keeps two holders from acting), a second holder that grants meanwhile (it would need the same wait).

Change: an account has up to 8 parts, each with an equal share of rate and burst, at least 4 tokens of burst, and a shard of its own. A daemon asks a part at random, goes on to another when it is empty, silent or not yet acting, and waits for a promised token only when all are empty. When a configuration changes the number of parts, buckets of the new ones count as empty until every daemon has seen it or lapsed; hand-overs wait for the configuration they were kept by. The asking side and the holder are classes of their own now. Schedules now ask four tokens at once, of a divided account as well, and change its parts while it is used: they are stricter than before.

--- a/include/sapphirelane/admission/budget_holder.h
+++ b/include/sapphirelane/admission/budget_holder.h
@@ -16,6 +16,13 @@
 /// @brief Longest time for which a token may be promised ahead.
 constexpr Milliseconds kMostTokenWait{ 1000 };
 
+/// @brief Tokens that an account's bucket holds at the most.
+///
+/// A granted token may be used up to kGrantLife late, so the bucket holds less
+/// than the burst by what the account may use in that time.
+double
+BucketCapacity(const Account& aAccount);
+
 /// @brief Answer to a question for one token.
 struct Grant
 {
@@ -33,9 +40,8 @@
 
 /// @brief Token buckets of the accounts whose shard a daemon holds.
 ///
-/// A token counts as spent when it is granted. Capacity is burst - rate x
-/// kGrantLife, so that a grant used late still lies within rate and burst. A
-/// token may be promised ahead: it is granted with the time to wait.
+/// A token counts as spent when it is granted. See BucketCapacity. A token may
+/// be promised ahead: it is granted with the time to wait.
 class BudgetHolder
 {
 public:
@@ -45,7 +51,8 @@
   ///
   /// @param aQuestion Unique number of the question.
   /// @param aLatest No token is promised for after this moment.
-  /// @param aEmptyAt When an account not seen before had an empty bucket.
+  /// @param aEmptyAt When an account not seen before has an empty bucket;
+  /// until then it grants nothing that may be used earlier.
   Grant Ask(const Account& aAccount,
             std::uint64_t aQuestion,
             TimePoint aEmptyAt,
--- a/include/sapphirelane/membership/token_desk.h
+++ b/include/sapphirelane/membership/token_desk.h
@@ -6,25 +6,25 @@
 #include <string>
 #include <vector>
 
-#include "sapphirelane/admission/budget_holder.h"
+#include "sapphirelane/admission/account_parts.h"
 #include "sapphirelane/membership/fleet_control.h"
 #include "sapphirelane/membership/head_keeper.h"
 #include "sapphirelane/membership/peers.h"
 #include "sapphirelane/membership/shard_keeper.h"
+#include "sapphirelane/membership/token_holder.h"
 
 namespace sapphirelane {
 
-/// @brief Asks for tokens, and grants those of the shards held.
+/// @brief Asks the holders of an account's parts for tokens.
 class TokenDesk
 {
 public:
   TokenDesk(HeadKeeper& aKeeper,
             ShardKeeper& aShards,
+            TokenHolder& aHolder,
             Peers& aPeers,
             Random& aRandom);
 
-  // As one that asks.
-
   /// @brief Starts a question; exactly one result follows.
   AskId Ask(const std::string& aAccount, TimePoint aDeadline, TimePoint aNow);
 
@@ -38,21 +38,6 @@
 
   std::vector<TokenResult> TakeResults();
 
-  // As a holder.
-
-  TokenAnswer Answer(const TokenAsk& aAsk, TimePoint aNow);
-  void OnReturn(const TokenReturn& aReturn, TimePoint aNow);
-
-  /// @brief Levels of the buckets of a shard, which are dropped.
-  std::vector<WireBucket> TakeBuckets(const std::vector<std::uint32_t>& aShards,
-                                      TimePoint aNow);
-
-  /// @brief Drops the buckets of shards that this daemon does not act on.
-  void DropUnheld(TimePoint aNow);
-
-  /// @brief Takes over a bucket that was handed over.
-  void Receive(const WireBucket& aBucket, TimePoint aNow);
-
 private:
   /// One question in the fleet on behalf of an AskId.
   struct Open
@@ -60,7 +45,8 @@
     AskId ask = 0;
     std::string account;
     TimePoint deadline{};
-    std::uint64_t question = 0; ///< Renewed when its token could not be used.
+    PartWalk walk;              ///< Parts asked so far, and the one asked now.
+    std::uint64_t question = 0; ///< New for each part that is asked.
     TimePoint asked{};          ///< When the question was first sent.
     TimePoint resend{};
     std::uint32_t tries = 0;
@@ -68,8 +54,7 @@
 
   struct Granted
   {
-    std::string account;
-    std::uint64_t question = 0;
+    TokenReturn back; ///< To be sent if the token is not used.
     TimePoint until{};
   };
 
@@ -80,21 +65,30 @@
     TimePoint from{};
   };
 
-  void NewQuestion(Open& aOpen, TimePoint aNow);
+  PartWalk NewWalk(const std::string& aAccount, TimePoint aNow);
+  NodeId HolderOf(const std::string& aAccount, const AccountPart& aPart) const;
+  void NewQuestion(Open aOpen, TimePoint aNow);
   void Send(Open& aOpen, TimePoint aNow);
   void SendReturn(const TokenReturn& aReturn, TimePoint aNow);
   void Settle(const Open& aOpen, const TokenAnswer& aAnswer, TimePoint aNow);
+  void OnRefused(const Open& aOpen, const TokenAnswer& aAnswer, TimePoint aNow);
+  void OnGranted(const Open& aOpen, const TokenAnswer& aAnswer, TimePoint aNow);
+  bool GoOnSilent(const Open& aOpen, TimePoint aNow);
+  void Abandon(const Open& aOpen, TimePoint aNow);
+  void OnDue(std::uint64_t aQuestion, TimePoint aNow);
+  void TakeRipe(TimePoint aNow);
+  void Forget(TimePoint aNow);
 
   HeadKeeper& m_keeper;
   ShardKeeper& m_shards;
+  TokenHolder& m_holder;
   Peers& m_peers;
   Random& m_random;
-  BudgetHolder m_budgets;
   AskId m_lastAsk = 0;
-  TimePoint m_nextExpiry{};
   std::map<std::uint64_t, Open> m_open; ///< By question.
   std::map<AskId, Granted> m_granted;
   std::map<std::uint64_t, Granted> m_abandoned; ///< By question.
+  std::map<NodeId, TimePoint> m_silentUntil; ///< Holders that did not answer.
   std::vector<Ripening> m_ripening;
   std::vector<TokenResult> m_results;
 };
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -148,16 +148,19 @@
   }
 };
 
-/// @brief Asks the holder of an account's budget for tokens.
+/// @brief Asks the holder of one part of an account's budget for a token.
 struct TokenAsk
 {
   std::uint64_t ask = 0;
   std::string account;
+  std::uint8_t part = 0;  ///< See AccountPart.
+  std::uint8_t parts = 1; ///< As the asker's configuration has it.
+  bool may_wait = true;   ///< A token promised ahead will do.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(ask, account);
+    aArchive(ask, account, part, parts, may_wait);
   }
 };
 
@@ -182,11 +185,13 @@
 {
   std::uint64_t ask = 0;
   std::string account;
+  std::uint8_t part = 0;
+  std::uint8_t parts = 1;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(ask, account);
+    aArchive(ask, account, part, parts);
   }
 };
 
@@ -445,17 +450,19 @@
   }
 };
 
-/// @brief Level of one account's token bucket.
+/// @brief Level of the token bucket of one part of an account.
 struct WireBucket
 {
   std::string account;
+  std::uint8_t part = 0;
+  std::uint8_t parts = 1;
   double level = 0;
   std::uint64_t after_ms = 0; ///< Until it has that level.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(account, level, after_ms);
+    aArchive(account, part, parts, level, after_ms);
   }
 };
 
@@ -477,7 +484,8 @@
 struct HandOver
 {
   std::uint64_t map_epoch = 0;
-  bool retires = false; ///< The sender stops for good.
+  std::uint64_t config_version = 0; ///< By which the buckets were kept.
+  bool retires = false;             ///< The sender stops for good.
   std::vector<WireShard> shards;
   std::vector<WireBucket> buckets;
   std::vector<WireClaim> claims;
@@ -485,7 +493,7 @@
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(map_epoch, retires, shards, buckets, claims);
+    aArchive(map_epoch, config_version, retires, shards, buckets, claims);
   }
 };
 
--- a/src/sapphirelane/admission/budget_holder.cpp
+++ b/src/sapphirelane/admission/budget_holder.cpp
@@ -10,20 +10,19 @@
 /// Longer than any question can still be repeated or its token returned.
 constexpr Milliseconds kAnswerMemory = kMostTokenWait + 4 * kGrantLife;
 
+} // namespace
+
 double
-Capacity(const Account& aAccount)
+BucketCapacity(const Account& aAccount)
 {
   return aAccount.burst - aAccount.rate * ToSeconds(kGrantLife);
 }
 
-} // namespace
-
 TokenBucket&
 BudgetHolder::Find(const Account& aAccount, TimePoint aEmptyAt, TimePoint aNow)
 {
-  auto [found, isNew] =
-    m_buckets.try_emplace(aAccount.id, 0.0, std::min(aEmptyAt, aNow));
-  found->second.SetLimits(aAccount.rate, Capacity(aAccount), aNow);
+  auto [found, isNew] = m_buckets.try_emplace(aAccount.id, 0.0, aEmptyAt);
+  found->second.SetLimits(aAccount.rate, BucketCapacity(aAccount), aNow);
   return found->second;
 }
 
@@ -68,7 +67,7 @@
     return;
   }
   asked->second.grant = {};
-  bucket->second.SetLimits(aAccount.rate, Capacity(aAccount), aNow);
+  bucket->second.SetLimits(aAccount.rate, BucketCapacity(aAccount), aNow);
   bucket->second.Return(asked->second.from, aNow);
 }
 
@@ -85,7 +84,7 @@
   if (bucket == m_buckets.end()) {
     return std::nullopt;
   }
-  bucket->second.SetLimits(aAccount.rate, Capacity(aAccount), aNow);
+  bucket->second.SetLimits(aAccount.rate, BucketCapacity(aAccount), aNow);
   const auto last = bucket->second.LastPromise(aNow);
   if (last) {
     // After its last promise the bucket holds less than one token.
--- a/src/sapphirelane/membership/node.cpp
+++ b/src/sapphirelane/membership/node.cpp
@@ -12,6 +12,7 @@
 #include "sapphirelane/membership/shard_keeper.h"
 #include "sapphirelane/membership/timings.h"
 #include "sapphirelane/membership/token_desk.h"
+#include "sapphirelane/membership/token_holder.h"
 #include "sapphirelane/membership/withdrawal_desk.h"
 #include "sapphirelane/wire/codec.h"
 
@@ -63,7 +64,8 @@
     , m_writer(m_keeper, m_store, m_peers, m_seat, m_random)
     , m_ring(aOptions.self.id)
     , m_shards(aOptions.self.id, aOptions.dedup_window)
-    , m_tokens(m_keeper, m_shards, m_peers, m_random)
+    , m_holder(m_keeper, m_shards)
+    , m_tokens(m_keeper, m_shards, m_holder, m_peers, m_random)
     , m_claims(m_keeper, m_shards, m_peers, m_random, aOptions.dedup_window)
     , m_withdrawals(m_keeper,
                     m_writer,
@@ -211,6 +213,7 @@
   {
     m_evidence.Tick(aNow);
     m_writer.Tick(aNow);
+    m_holder.Tick(aNow);
     m_tokens.Tick(aNow);
     m_claims.Tick(aNow);
     SendHeartbeats(aNow);
@@ -318,8 +321,10 @@
                 " with head " + std::to_string(head.seq) + ".");
       m_keys.Load(*m_keeper.Config());
       m_withdrawals.OnConfig();
+      m_holder.OnConfig(aNow);
     }
     LoadMap(aEarlier, head, aNow);
+    TakePendingHandOvers(head, aNow);
     m_left = m_stopping && FindMember(head, m_options.self.id) == nullptr;
     for (NodeId member : m_peers.Draw(kNewsFanOut)) {
       m_peers.Send(member, HeadNews{ head.seq });
@@ -342,16 +347,16 @@
               " members; hands over shards to " + std::to_string(moves.size()) +
               " of them.");
     HandOverShards(moves, false, aNow);
-    m_tokens.DropUnheld(aNow);
-    m_pendingHandOvers.erase(std::remove_if(m_pendingHandOvers.begin(),
-                                            m_pendingHandOvers.end(),
-                                            [&](const auto& aPending) {
-                                              return aPending.second.map_epoch <
-                                                     aHead.map_epoch;
-                                            }),
-                             m_pendingHandOvers.end());
-    for (const auto& pending : std::exchange(m_pendingHandOvers, {})) {
-      OnHandOver(pending.first, pending.second, aNow);
+    m_holder.DropUnheld(aNow);
+  }
+
+  /// Takes what was handed over for a head that was not known then.
+  void TakePendingHandOvers(const Head& aHead, TimePoint aNow)
+  {
+    for (const auto& [from, over] : std::exchange(m_pendingHandOvers, {})) {
+      if (over.map_epoch >= aHead.map_epoch) {
+        OnHandOver(from, over, aNow);
+      }
     }
   }
 
@@ -362,11 +367,12 @@
     for (const ShardMove& move : aMoves) {
       HandOver over;
       over.map_epoch = m_shards.MapEpoch();
+      over.config_version = m_keeper.Config()->version;
       over.retires = aRetires;
       for (std::uint32_t shard : move.shards) {
         over.shards.push_back(m_shards.Describe(shard, aNow));
       }
-      over.buckets = m_tokens.TakeBuckets(move.shards, aNow);
+      over.buckets = m_holder.TakeBuckets(move.shards, aNow);
       over.claims = m_claims.ClaimsOf(move.shards, aNow);
       ++m_stopCalls;
       m_bulk.Call(m_peers.AddressOf(move.target),
@@ -388,8 +394,11 @@
       return false;
     }
     m_claims.Receive(aOver.claims, aNow);
-    if (aOver.map_epoch > m_shards.MapEpoch()) {
-      // It fits the map that is about to be taken over.
+    // Buckets kept by a newer configuration may be divided in another way.
+    const bool early = aOver.map_epoch > m_shards.MapEpoch() ||
+                       aOver.config_version > m_keeper.Config()->version;
+    if (early) {
+      // It fits the head that is about to be taken over.
       m_pendingHandOvers.emplace_back(aFrom, aOver);
       return true;
     }
@@ -404,8 +413,9 @@
       }
     }
     for (const WireBucket& bucket : aOver.buckets) {
-      if (taken.count(ShardOf(bucket.account)) == 1) {
-        m_tokens.Receive(bucket, aNow);
+      if (taken.count(
+            ShardOfPart(bucket.account, { bucket.part, bucket.parts })) == 1) {
+        m_holder.Receive(bucket, aNow);
       }
     }
     if (aOver.retires && aOver.map_epoch == m_shards.MapEpoch()) {
@@ -519,7 +529,7 @@
               const TokenAsk& aAsk,
               TimePoint aNow)
   {
-    Reply(aFrom, aAddress, m_tokens.Answer(aAsk, aNow));
+    Reply(aFrom, aAddress, m_holder.Answer(aAsk, aNow));
   }
 
   void Handle(NodeId /*aFrom*/,
@@ -535,7 +545,7 @@
               const TokenReturn& aReturn,
               TimePoint aNow)
   {
-    m_tokens.OnReturn(aReturn, aNow);
+    m_holder.OnReturn(aReturn, aNow);
   }
 
   void Handle(NodeId aFrom,
@@ -837,6 +847,7 @@
   HeadWriter m_writer;
   RingMonitor m_ring;
   ShardKeeper m_shards;
+  TokenHolder m_holder;
   TokenDesk m_tokens;
   ClaimDesk m_claims;
   EvidenceBoard m_board;
--- a/src/sapphirelane/membership/schedule_world.h
+++ b/src/sapphirelane/membership/schedule_world.h
@@ -78,6 +78,12 @@
   /// @brief Proposes a change that adds a host row.
   void Propose(std::size_t aDaemon, const std::string& aRow);
 
+  /// @brief Proposes another number of parts for the account "divided".
+  void Redivide(std::size_t aDaemon);
+
+  /// @brief Notes a fault for each account served past its rate and burst.
+  void CheckRates();
+
 private:
   class Daemon;
   struct Platform;
@@ -105,7 +111,6 @@
   double Draw();
   Duration DrawTime(Duration aMost);
   void CheckFreshness(std::size_t aDaemon);
-  void CheckRates();
   void CheckChanges();
   void Trace(const std::string& aText) const;
 
--- a/src/sapphirelane/membership/schedule_world_test.cpp
+++ b/src/sapphirelane/membership/schedule_world_test.cpp
@@ -16,7 +16,14 @@
 
 /// Small buckets, so that a grant too many shows.
 const std::vector<Account> kAccounts = { { "large", 40, 20 },
-                                         { "small", 4, 3 } };
+                                         { "small", 4, 3 },
+                                         { "divided", 60, 60 } };
+
+/// The other burst of the account "divided", which makes it fewer parts.
+constexpr double kOtherBurst = 25;
+
+/// Requests for tokens at once, so that a large account is past its rate.
+constexpr int kTokensAtOnce = 4;
 
 FleetConfig
 FirstConfig()
@@ -513,6 +520,25 @@
     });
 }
 
+void
+ScheduleWorld::Redivide(std::size_t aDaemon)
+{
+  Daemon& daemon = *m_daemons[aDaemon];
+  const FleetConfig* before = daemon.node->Config();
+  const std::string& id = kAccounts[2].id;
+  if (before == nullptr || before->accounts.count(id) == 0) {
+    return;
+  }
+  FleetConfig after = *before;
+  double& burst = after.accounts[id].burst;
+  burst = burst == kOtherBurst ? kAccounts[2].burst : kOtherBurst;
+  ChangeSet change;
+  change.id = "divide-" + std::to_string(m_random());
+  change.rows = Difference(*before, after);
+  daemon.node->Propose(
+    change, daemon.Now(), [](const WriteResult&, TimePoint) {});
+}
+
 std::size_t
 ScheduleWorld::RandomDaemon()
 {
@@ -536,13 +562,18 @@
   }
   const double kind = Draw();
   if (kind < 0.45) {
-    RequestToken(daemon, kAccounts[0].id);
+    for (int i = 0; i < kTokensAtOnce; ++i) {
+      RequestToken(daemon, kAccounts[0].id);
+      RequestToken(daemon, kAccounts[2].id);
+    }
   } else if (kind < 0.6) {
     RequestToken(daemon, kAccounts[1].id);
   } else if (kind < 0.98) {
     RequestClaim(daemon, "key-" + std::to_string(m_random() % 12));
-  } else {
+  } else if (kind < 0.99) {
     Propose(daemon, "row-" + std::to_string(m_random() % 100000));
+  } else {
+    Redivide(daemon);
   }
 }
 
