Send less in each message: no address of members, sizes of 4 bytes

Cause: control took 7.31 KB/s at 160 daemons at the most, above the bound of 6 KB/s, and 27 KB/s worked out for 770. Every heartbeat carried the host, data centre and address that the head names already. Ruled out: longer periods, which make detection slower. Change: a member's heartbeat has no address; sizes of texts and lists take 4 bytes in place of 8.

--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -43,7 +43,7 @@
 /// @brief Sent to ring neighbours; silence leads to suspicion.
 struct Heartbeat
 {
-  MemberInfo self;
+  MemberInfo self;       ///< Empty if the sender is a member.
   std::uint64_t seq = 0; ///< Newest head known.
   bool joins = false;    ///< Not a member yet, and wants to be one.
   std::vector<NodeId> retired;
--- a/src/sapphirelane/membership/node.cpp
+++ b/src/sapphirelane/membership/node.cpp
@@ -689,6 +689,10 @@
     const auto& head = m_keeper.Current();
     const bool member = head && FindMember(*head, m_options.self.id) != nullptr;
     beat.joins = m_options.joins && !m_stopping && !member;
+    if (member) {
+      // The head tells the others how a member is reached.
+      beat.self = {};
+    }
     const auto& retired = m_shards.Retired();
     beat.retired.assign(retired.begin(), retired.end());
     for (NodeId listener : m_ring.Listeners()) {
--- a/src/sapphirelane/wire/codec_test.cpp
+++ b/src/sapphirelane/wire/codec_test.cpp
@@ -49,10 +49,9 @@
 
 TEST_CASE_METHOD(WireFixture, "Codec, a size beyond the bytes, is refused")
 {
-  // A bulk reply whose string claims 2^60 bytes.
+  // A bulk reply whose string claims 2^28 bytes.
   std::string bytes = EncodeBulk(StateReply{});
-  bytes[6] = '\x10';
-  bytes[12] = '\x10';
+  bytes[8] = '\x10';
   CHECK_THROWS_AS(DecodeBulk(bytes), WireError);
 }
 
