Say what the worst account was refused when a holder is lost

Cause: the sum over all accounts hides the one whose holder was lost, and it is the worst-served account that counts. Change: a row of its own in the table of scripts/measure; pages tell of an account's parts; the capacity page names the delay that a change of configuration causes.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -11,6 +11,7 @@
 WINDOW = 600.0  # dedup window, seconds
 RUN_ONCE = 0.1  # share of requests taken as run-once
 CPU, MEMORY, BYTES = 0.024, 256.0, 6144.0
+ADDED = 0.0059  # bound on the time added to a request, seconds
 
 
 def collect(bench_file, processes_file, out_file):
@@ -140,7 +141,8 @@
           f"{'fits' if cpu <= CPU else f'does not fit: {cpu / CPU:.1f} times'}."
           f" One change takes {sec('BmApply/25000') * 1e3:.0f} ms of the "
           "deciding thread, during which no request is\ndecided; that delay, "
-          f"not the share, is what counts: the target is 5.9 ms added.\n")
+          f"not the share, is what counts: the target is {ADDED * 1e3:.1f} ms "
+          "added.\n")
 
     claims = rps * RUN_ONCE * WINDOW * 2
     claim_bytes = 500
@@ -172,10 +174,14 @@
               "one request at a\n  time and answers for evidence.")
     print("- The head holds every member, so a new map costs "
           f"{head / 1024:.0f} KB to each daemon.")
+    if sec("BmApply/25000") > ADDED:
+        print(f"- A change of configuration holds requests up for "
+              f"{sec('BmApply/25000') * 1e3:.0f} ms, {CHANGES} times a day; "
+              f"the target is {ADDED * 1e3:.1f} ms added for 99 in 100.")
     print("- Regions: one head for all regions; two regions that lose each "
           "other do not both keep working.")
-    print("- An account has one holder; the loss of that daemon stops all of "
-          "a large account for about 5 s.")
+    print("- An account whose bucket holds fewer than 8 tokens has one holder; "
+          "the loss of that daemon stops it\n  for about 5 s.")
     print("- Health: a daemon reports only services in which it saw bad work, "
           "so the cost is nil without faults; in the\n  loss of a data centre "
           "each daemon reports all its services, 4 datagrams a second each.")
--- a/scripts/measure_processes.py
+++ b/scripts/measure_processes.py
@@ -182,6 +182,8 @@
         return {"fault": fault, "sent": sent, "exit_code": code,
                 "refused_within_rate": sum(a["refused_within_rate"]
                                            for a in data["accounts"]),
+                "worst_account": max(a["refused_within_rate"] / a["sent"]
+                                     for a in data["accounts"]),
                 "unknown": sum(a["unknown"] for a in data["accounts"]),
                 "no_answer": sum(a["no_answer"] for a in data["accounts"]),
                 "broken": data["broken"],
--- a/scripts/measure_table.py
+++ b/scripts/measure_table.py
@@ -84,6 +84,9 @@
         yield (f"refused within rate, holder: {row['fault']}",
                f"<= {bound:.1%}", "-", f"{share:.2%} of {row['sent']}",
                share <= bound)
+        worst = row["worst_account"]
+        yield (f"worst account's refused, holder: {row['fault']}",
+               f"<= {bound:.1%}", "-", f"{worst:.2%}", worst <= bound)
         yield (f"promises broken, holder: {row['fault']}", "0", "-",
                len(row["broken"]), not row["broken"])
 
--- a/src/sapphirelane/membership/token_desk_test.cpp
+++ b/src/sapphirelane/membership/token_desk_test.cpp
@@ -89,7 +89,7 @@
   world.CheckRates();
   CHECK(world.Faults().empty());
   // Burst is 60; the buckets leave out what a late token may use.
-  CHECK(world.ServedOf("divided") >= 60 * 30);
+  CHECK(world.ServedOf("divided") >= 1800);
 }
 
 TEST_CASE_METHOD(TokenDeskFixture,
