Lose tokens that come back after a hand-over there and back

Cause: a generated schedule served an account 0.08 tokens past its rate and burst. A holder gave a shard up and got it back; two tokens that it had granted before came back late and were credited in full to the new bucket, which does not know how full the buckets in between were, so that what these had lost by being full was given out again. Ruled out: the seats of witnesses, which the schedule had brought by their messages (one holder acted all the time), and the division of accounts (one part).

Change: a token is credited only to the bucket that granted it.

--- a/include/sapphirelane/admission/budget_holder.h
+++ b/include/sapphirelane/admission/budget_holder.h
@@ -60,6 +60,9 @@
             TimePoint aNow);
 
   /// @brief Takes back the token that a question was granted, once.
+  ///
+  /// One that was granted from a bucket before a hand-over is lost: how full
+  /// the buckets in between were is not known here.
   void Return(const Account& aAccount, std::uint64_t aQuestion, TimePoint aNow);
 
   /// @brief Starts a bucket as it was handed over.
@@ -85,7 +88,8 @@
   struct Answer
   {
     Grant grant;
-    TimePoint from{}; ///< When granted: from when the token may be used.
+    TimePoint from{};  ///< When granted: from when the token may be used.
+    TimePoint begun{}; ///< When the bucket began that it was granted from.
     TimePoint time{};
   };
 
--- a/include/sapphirelane/admission/token_bucket.h
+++ b/include/sapphirelane/admission/token_bucket.h
@@ -23,6 +23,9 @@
   /// @param aRate Tokens a second.
   void SetLimits(double aRate, double aCapacity, TimePoint aNow);
 
+  /// @brief The moment at which this bucket began.
+  TimePoint Begun() const { return m_begun; }
+
   /// @brief Spends one token at the earliest moment possible.
   /// @param aLatest No token is promised for after this moment.
   /// @return From when the token may be used, or nothing.
@@ -56,6 +59,7 @@
   double m_rate = 0;
   double m_capacity = 0;
   double m_level;
+  TimePoint m_begun;
   TimePoint m_time;
   std::deque<TimePoint> m_promised; ///< Moments after m_time, in order.
   std::deque<Peak> m_peaks;         ///< High levels, times rising.
--- a/src/sapphirelane/admission/budget_holder.cpp
+++ b/src/sapphirelane/admission/budget_holder.cpp
@@ -40,6 +40,7 @@
   TokenBucket& bucket = Find(aAccount, aEmptyAt, aNow);
   Answer answer;
   answer.time = aNow;
+  answer.begun = bucket.Begun();
   const TimePoint latest = std::min(aLatest, aNow + kMostTokenWait);
   const auto from = bucket.Take(latest, aNow);
   if (from) {
@@ -63,7 +64,8 @@
   auto asked = m_answers.find(aQuestion);
   auto bucket = m_buckets.find(aAccount.id);
   if (asked == m_answers.end() || bucket == m_buckets.end() ||
-      !asked->second.grant.granted) {
+      !asked->second.grant.granted ||
+      asked->second.begun != bucket->second.Begun()) {
     return;
   }
   asked->second.grant = {};
--- a/src/sapphirelane/admission/token_bucket.cpp
+++ b/src/sapphirelane/admission/token_bucket.cpp
@@ -13,6 +13,7 @@
 
 TokenBucket::TokenBucket(double aLevel, TimePoint aNow)
   : m_level(aLevel)
+  , m_begun(aNow)
   , m_time(aNow)
 {
 }
