Hand a stopping witness's seat and intents to one other daemon

Cause: while the platform is away no new witnesses can be named, so planned stops of half of them, as in a rolling restart, left no majority and the whole fleet refused keyed requests until the platform was back. Ruled out: counting the witnesses that run only (two halves could each be such a majority), and naming new ones by gossip (the same).

Change: a daemon that stops hands its seats with their open intents to one member that is neither retired nor silent, and neither vouches nor records from then on. It asks another one only after an answer that nothing was taken, so that a seat never has two holders; a receiver that knows less than the giver refuses. Answers and intents name seats in place of daemons; heartbeats tell where seats went.

--- a/include/sapphirelane/membership/evidence_asker.h
+++ b/include/sapphirelane/membership/evidence_asker.h
@@ -40,8 +40,7 @@
 
   /// @brief Takes in an answer.
   /// @param aAddress Where the answer came from.
-  void OnAnswer(NodeId aFrom,
-                const std::string& aAddress,
+  void OnAnswer(const std::string& aAddress,
                 const HeadAnswer& aAnswer,
                 TimePoint aNow);
 
@@ -59,14 +58,12 @@
   {
     std::uint64_t nonce = 0;
     TimePoint sent{};
-    std::set<NodeId> vouchers;
+    std::set<NodeId> vouchers; ///< Seats.
   };
 
   void ReadHead(TimePoint aNow);
   void AskRound(TimePoint aNow);
-  bool IsWitness(NodeId aId) const;
-  bool Vouches() const;
-  void CountVouch(Round& aRound, NodeId aVoucher);
+  void CountVouches(Round& aRound, const std::vector<NodeId>& aSeats);
 
   HeadKeeper& m_keeper;
   StoreClient& m_store;
--- a/include/sapphirelane/membership/head_writer.h
+++ b/include/sapphirelane/membership/head_writer.h
@@ -60,9 +60,7 @@
   bool IsBusy() const { return m_job.has_value(); }
 
   /// @brief Takes in a witness's answer.
-  void OnIntentAnswer(NodeId aFrom,
-                      const IntentAnswer& aAnswer,
-                      TimePoint aNow);
+  void OnIntentAnswer(const IntentAnswer& aAnswer, TimePoint aNow);
 
   /// @brief Lets time pass: resends, patience, repeated reads.
   void Tick(TimePoint aNow);
@@ -92,10 +90,10 @@
     FleetConfig config;
     std::uint64_t nonce = 0;
     TimePoint intents_sent{};
-    std::set<NodeId> recorded;
-    bool swapped = false; ///< A swap was sent; the head does not tell yet.
-    bool maybe = false;   ///< It may be written, beneath a newer head.
-    bool lost = false;    ///< A swap had no answer.
+    std::set<NodeId> recorded; ///< Seats.
+    bool swapped = false;      ///< A swap was sent; the head does not tell yet.
+    bool maybe = false;        ///< It may be written, beneath a newer head.
+    bool lost = false;         ///< A swap had no answer.
   };
 
   void Begin(Job aJob, TimePoint aNow);
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -40,6 +40,21 @@
   }
 };
 
+/// @brief A witness seat that was handed over.
+struct MovedSeat
+{
+  NodeId seat = 0;   ///< The daemon that the head names.
+  NodeId holder = 0; ///< The daemon that holds it now.
+  std::uint32_t hops =
+    0; ///< Times that it was handed over; the most is newest.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(seat, holder, hops);
+  }
+};
+
 /// @brief Sent to ring neighbours; silence leads to suspicion.
 struct Heartbeat
 {
@@ -48,11 +63,12 @@
   bool joins = false;    ///< Not a member yet, and wants to be one.
   std::vector<NodeId> retired;
   std::vector<Withdrawal> withdrawals;
+  std::vector<MovedSeat> seats;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(self, seq, joins, retired, withdrawals);
+    aArchive(self, seq, joins, retired, withdrawals, seats);
   }
 };
 
@@ -86,14 +102,14 @@
 {
   std::uint64_t nonce = 0;
   std::uint64_t seq = 0;
-  bool has_age = false;     ///< The answerer has evidence for seq.
-  std::uint32_t age_ms = 0; ///< Age of that evidence, rounded up.
-  bool vouches = false;     ///< As a witness without an open intent.
+  bool has_age = false;      ///< The answerer has evidence for seq.
+  std::uint32_t age_ms = 0;  ///< Age of that evidence, rounded up.
+  std::vector<NodeId> seats; ///< Witness seats that vouch: no open intent.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(nonce, seq, has_age, age_ms, vouches);
+    aArchive(nonce, seq, has_age, age_ms, seats);
   }
 };
 
@@ -126,13 +142,13 @@
 struct IntentAnswer
 {
   std::uint64_t nonce = 0;
-  bool recorded = false;
-  std::uint64_t seq = 0; ///< Newest head that the witness knows.
+  std::vector<NodeId> seats; ///< That have recorded it.
+  std::uint64_t seq = 0;     ///< Newest head that the witness knows.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(nonce, recorded, seq);
+    aArchive(nonce, seats, seq);
   }
 };
 
@@ -509,13 +525,31 @@
   }
 };
 
+/// @brief Hands witness seats to the one daemon that holds them from then on.
+///
+/// Answered by a HandOverReply. It is sent to another daemon only after an
+/// answer that says that nothing was taken.
+struct SeatTransfer
+{
+  std::uint64_t seq = 0; ///< Head that the giver holds.
+  std::vector<MovedSeat> seats;
+  std::vector<std::uint64_t> intents; ///< Open at these seats.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(seq, seats, intents);
+  }
+};
+
 /// @brief Requests and replies that travel over TCP.
 using BulkMessage = std::variant<FetchState,
                                  StateReply,
                                  CollectClaims,
                                  ClaimsReply,
                                  HandOver,
-                                 HandOverReply>;
+                                 HandOverReply,
+                                 SeatTransfer>;
 
 } // namespace sapphirelane
 
--- a/src/sapphirelane/membership/evidence_asker.cpp
+++ b/src/sapphirelane/membership/evidence_asker.cpp
@@ -140,10 +140,11 @@
     asked.insert(drawn.begin(), drawn.end());
   }
   if (head && (widely || (m_polls && age > 2 * kPollPeriod))) {
-    asked.insert(head->witnesses.begin(), head->witnesses.end());
-    if (Vouches()) {
-      round.vouchers.insert(m_peers.Self().id);
+    for (NodeId seat : head->witnesses) {
+      asked.insert(m_seat.HolderOf(seat));
     }
+    const auto own = m_seat.Vouching(*head);
+    round.vouchers.insert(own.begin(), own.end());
   }
   asked.erase(m_peers.Self().id);
   m_rounds.push_back(round);
@@ -159,22 +160,7 @@
     }
     return;
   }
-  CountVouch(m_rounds.back(), 0);
-}
-
-bool
-EvidenceAsker::IsWitness(NodeId aId) const
-{
-  const auto& head = m_keeper.Current();
-  return head &&
-         std::find(head->witnesses.begin(), head->witnesses.end(), aId) !=
-           head->witnesses.end();
-}
-
-bool
-EvidenceAsker::Vouches() const
-{
-  return IsWitness(m_peers.Self().id) && !m_seat.HasOpenIntent();
+  CountVouches(m_rounds.back(), {});
 }
 
 HeadAnswer
@@ -183,7 +169,10 @@
   HeadAnswer answer;
   answer.nonce = aQuestion.nonce;
   answer.seq = m_keeper.Seq();
-  answer.vouches = Vouches();
+  const auto& head = m_keeper.Current();
+  if (head) {
+    answer.seats = m_seat.Vouching(*head);
+  }
   if (m_keeper.Lease().IsFresh(aNow)) {
     const auto age =
       std::chrono::ceil<Milliseconds>(m_keeper.Lease().Age(aNow));
@@ -194,8 +183,7 @@
 }
 
 void
-EvidenceAsker::OnAnswer(NodeId aFrom,
-                        const std::string& aAddress,
+EvidenceAsker::OnAnswer(const std::string& aAddress,
                         const HeadAnswer& aAnswer,
                         TimePoint aNow)
 {
@@ -216,18 +204,21 @@
   if (aAnswer.has_age) {
     m_keeper.Lease().AddEvidence(round->sent - Milliseconds(aAnswer.age_ms));
   }
-  if (aAnswer.vouches && IsWitness(aFrom)) {
-    CountVouch(*round, aFrom);
-  }
+  CountVouches(*round, aAnswer.seats);
 }
 
 void
-EvidenceAsker::CountVouch(Round& aRound, NodeId aVoucher)
+EvidenceAsker::CountVouches(Round& aRound, const std::vector<NodeId>& aSeats)
 {
-  if (aVoucher != 0) {
-    aRound.vouchers.insert(aVoucher);
-  }
   const auto& head = m_keeper.Current();
+  for (NodeId seat : aSeats) {
+    const bool named =
+      std::find(head->witnesses.begin(), head->witnesses.end(), seat) !=
+      head->witnesses.end();
+    if (named) {
+      aRound.vouchers.insert(seat);
+    }
+  }
   if (aRound.vouchers.size() * 2 > head->witnesses.size()) {
     m_keeper.Lease().AddEvidence(aRound.sent);
   }
--- a/src/sapphirelane/membership/head_writer.cpp
+++ b/src/sapphirelane/membership/head_writer.cpp
@@ -272,29 +272,34 @@
 HeadWriter::SendIntents(TimePoint aNow)
 {
   m_job->intents_sent = aNow;
-  const NodeId self = m_peers.Self().id;
-  for (NodeId witness : m_keeper.Current()->witnesses) {
-    if (witness == self) {
-      m_seat.Record(m_job->nonce, aNow);
-      m_job->recorded.insert(self);
-    } else if (m_job->recorded.count(witness) == 0) {
-      m_peers.Send(witness, IntentAsk{ m_job->nonce, m_keeper.Seq() });
+  const Head& head = *m_keeper.Current();
+  const auto own = m_seat.Seats(head);
+  if (!own.empty()) {
+    m_seat.Record(m_job->nonce, aNow);
+    m_job->recorded.insert(own.begin(), own.end());
+  }
+  std::set<NodeId> asked;
+  for (NodeId seat : head.witnesses) {
+    if (m_job->recorded.count(seat) == 0) {
+      asked.insert(m_seat.HolderOf(seat));
     }
   }
+  asked.erase(m_peers.Self().id);
+  for (NodeId witness : asked) {
+    m_peers.Send(witness, IntentAsk{ m_job->nonce, m_keeper.Seq() });
+  }
 }
 
 void
-HeadWriter::OnIntentAnswer(NodeId aFrom,
-                           const IntentAnswer& aAnswer,
-                           TimePoint aNow)
+HeadWriter::OnIntentAnswer(const IntentAnswer& aAnswer, TimePoint aNow)
 {
   const bool asked =
     m_job && m_job->step == Step::Intents && m_job->nonce == aAnswer.nonce;
   if (!asked) {
     return;
   }
-  if (aAnswer.recorded) {
-    m_job->recorded.insert(aFrom);
+  if (!aAnswer.seats.empty()) {
+    m_job->recorded.insert(aAnswer.seats.begin(), aAnswer.seats.end());
     CheckMajority(aNow);
   } else if (aAnswer.seq > m_keeper.Seq()) {
     ReleaseIntents();
@@ -327,9 +332,10 @@
   // A late answer must not lead to a write that nobody expects any more.
   const std::uint64_t nonce = std::exchange(m_job->nonce, 0);
   m_seat.Release(nonce);
-  for (NodeId witness : head->witnesses) {
-    if (witness != m_peers.Self().id) {
-      m_peers.Send(witness, IntentRelease{ nonce });
+  for (NodeId seat : head->witnesses) {
+    const NodeId holder = m_seat.HolderOf(seat);
+    if (holder != m_peers.Self().id) {
+      m_peers.Send(holder, IntentRelease{ nonce });
     }
   }
 }
--- a/src/sapphirelane/membership/node.cpp
+++ b/src/sapphirelane/membership/node.cpp
@@ -42,6 +42,7 @@
     , m_random(aOptions.seed)
     , m_store(aEnv)
     , m_bulk(aEnv)
+    , m_seat(aOptions.self.id)
     , m_peers(aEnv, aOptions.self, m_random)
     , m_keeper(
         m_store,
@@ -203,6 +204,11 @@
       }
       return reply;
     }
+    if (const auto* seats = std::get_if<SeatTransfer>(&aRequest)) {
+      const auto& head = m_keeper.Current();
+      return HandOverReply{ head && !m_stopping &&
+                            m_seat.Take(*seats, *head, aNow) };
+    }
     if (const auto* over = std::get_if<HandOver>(&aRequest)) {
       return HandOverReply{ OnHandOver(aFrom, *over, aNow) };
     }
@@ -294,6 +300,9 @@
                     m_claimsKept += IsKept(aReply) ? 1 : 0;
                   });
     }
+    if (m_keeper.Current()) {
+      HandSeatsOver(m_seat.GiveUp(*m_keeper.Current()), SeatTargets(aNow));
+    }
   }
 
   bool IsStopped(TimePoint aNow) const override
@@ -309,7 +318,7 @@
   void OnAdopted(const std::optional<Head>& aEarlier, TimePoint aNow)
   {
     const Head& head = *m_keeper.Current();
-    m_seat.OnNewHead();
+    m_seat.OnNewHead(head);
     m_peers.Load(head);
     m_evidence.Load(head);
     m_ring.Load(head, aNow);
@@ -381,6 +390,45 @@
     }
   }
 
+  /// Members in random order that are neither retired nor silent.
+  std::vector<NodeId> SeatTargets(TimePoint aNow)
+  {
+    std::vector<NodeId> targets = m_peers.Draw(m_peers.Others().size());
+    const auto silent = m_ring.Silent(aNow);
+    targets.erase(std::remove_if(targets.begin(),
+                                 targets.end(),
+                                 [&](NodeId aOne) {
+                                   return m_shards.Retired().count(aOne) == 1 ||
+                                          std::find(silent.begin(),
+                                                    silent.end(),
+                                                    aOne) != silent.end();
+                                 }),
+                  targets.end());
+    return targets;
+  }
+
+  /// Hands witness seats to the first of some members that takes them. No
+  /// reply may mean that they were taken, so that nobody else is asked then.
+  void HandSeatsOver(const SeatTransfer& aTransfer,
+                     std::vector<NodeId> aTargets)
+  {
+    if (aTransfer.seats.empty() || aTargets.empty()) {
+      return;
+    }
+    const NodeId target = aTargets.back();
+    aTargets.pop_back();
+    ++m_stopCalls;
+    m_bulk.Call(
+      m_peers.AddressOf(target),
+      aTransfer,
+      [this, aTransfer, aTargets](const BulkReply& aReply, TimePoint /*aNow*/) {
+        --m_stopCalls;
+        if (aReply && !IsKept(aReply)) {
+          HandSeatsOver(aTransfer, aTargets);
+        }
+      });
+  }
+
   static bool IsKept(const BulkReply& aReply)
   {
     const auto* reply = aReply ? std::get_if<HandOverReply>(&*aReply) : nullptr;
@@ -442,6 +490,7 @@
     for (NodeId retired : aBeat.retired) {
       m_shards.Retire(retired);
     }
+    m_seat.Learn(aBeat.seats);
     for (const Withdrawal& withdrawal : aBeat.withdrawals) {
       m_withdrawals.Add(withdrawal);
     }
@@ -469,12 +518,12 @@
     }
   }
 
-  void Handle(NodeId aFrom,
+  void Handle(NodeId /*aFrom*/,
               const std::string& aAddress,
               const HeadAnswer& aAnswer,
               TimePoint aNow)
   {
-    m_evidence.OnAnswer(aFrom, aAddress, aAnswer, aNow);
+    m_evidence.OnAnswer(aAddress, aAnswer, aNow);
   }
 
   void Handle(NodeId /*aFrom*/,
@@ -496,11 +545,10 @@
     answer.nonce = aAsk.nonce;
     answer.seq = m_keeper.Seq();
     const auto& head = m_keeper.Current();
-    answer.recorded = head && aAsk.seq == head->seq &&
-                      std::find(head->witnesses.begin(),
-                                head->witnesses.end(),
-                                m_options.self.id) != head->witnesses.end();
-    if (answer.recorded) {
+    if (head && aAsk.seq == head->seq) {
+      answer.seats = m_seat.Seats(*head);
+    }
+    if (!answer.seats.empty()) {
       m_seat.Record(aAsk.nonce, aNow);
     } else if (aAsk.seq > m_keeper.Seq()) {
       m_keeper.FetchFrom(aAddress, aNow);
@@ -508,12 +556,12 @@
     m_env.Send(aAddress, answer);
   }
 
-  void Handle(NodeId aFrom,
+  void Handle(NodeId /*aFrom*/,
               const std::string& /*aAddress*/,
               const IntentAnswer& aAnswer,
               TimePoint aNow)
   {
-    m_writer.OnIntentAnswer(aFrom, aAnswer, aNow);
+    m_writer.OnIntentAnswer(aAnswer, aNow);
   }
 
   void Handle(NodeId /*aFrom*/,
@@ -686,6 +734,7 @@
     beat.self = m_options.self;
     beat.seq = m_keeper.Seq();
     beat.withdrawals = m_withdrawals.Pending();
+    beat.seats = m_seat.Moved();
     const auto& head = m_keeper.Current();
     const bool member = head && FindMember(*head, m_options.self.id) != nullptr;
     beat.joins = m_options.joins && !m_stopping && !member;
--- a/src/sapphirelane/membership/node_test.cpp
+++ b/src/sapphirelane/membership/node_test.cpp
@@ -166,6 +166,44 @@
   CHECK(ServedNow() == 3);
 }
 
+TEST_CASE_METHOD(NodeFixture,
+                 "Fleet, planned stops of most witnesses while the platform is "
+                 "away, stays fresh by their seats")
+{
+  m_world.SetOutage(true);
+  m_world.Advance(std::chrono::seconds(5));
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_world.Stop(i);
+    m_world.Advance(std::chrono::seconds(5));
+    REQUIRE_FALSE(m_world.IsAlive(i));
+  }
+  m_world.Advance(std::chrono::seconds(60));
+  CHECK(IsFresh(3));
+  CHECK(ServedNow() == 1);
+}
+
+TEST_CASE_METHOD(NodeFixture,
+                 "Fleet, a witness stops and its successor crashes, refuses "
+                 "when no majority of seats is left")
+{
+  m_world.SetOutage(true);
+  m_world.Advance(std::chrono::seconds(5));
+  m_world.Stop(0);
+  m_world.Advance(std::chrono::seconds(5));
+  // Two of the three that are left hold a majority only with the moved seat.
+  std::size_t fresh = 0;
+  for (std::size_t lost = 1; lost < 4; ++lost) {
+    m_world.Pause(lost, std::chrono::seconds(20));
+    m_world.Advance(std::chrono::seconds(10));
+    for (std::size_t i = 1; i < 4; ++i) {
+      fresh += i != lost && IsFresh(i) ? 1 : 0;
+    }
+    m_world.Advance(std::chrono::seconds(20));
+  }
+  // Four seats: with the holder of two paused, two are left, which is none.
+  CHECK(fresh == 4);
+}
+
 TEST_CASE_METHOD(NodeFixture,
                  "Fleet, a daemon paused past its lease, is not fresh at once")
 {
