--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -246,7 +246,7 @@
   StartSecrets();
   const FleetConfig config = MakeFleet(aState.range(0));
   for (auto unused : aState) {
-    benchmark::DoNotOptimize(FindRoute(config, "/route-5/page"));
+    benchmark::DoNotOptimize(FindRoute(config, "", "/route-5/page"));
   }
 }
 BENCHMARK(BmFindRoute)->Arg(1000)->Arg(25000);
--- a/cmake/sapphirelane.cmake
+++ b/cmake/sapphirelane.cmake
@@ -1,8 +1,10 @@
-include(Catch)
+if(SAPPHIRELANE_TESTS)
+  include(Catch)
+endif()
 
 # Modules whose plug-ins register themselves are linked whole.
 set(SAPPHIRELANE_PLUGIN_MODULES
-  "WHOLE_ARCHIVE,sapphirelane_routing,sapphirelane_admission,sapphirelane_platform")
+  "WHOLE_ARCHIVE,sapphirelane_routing,sapphirelane_admission,sapphirelane_store,sapphirelane_adapter")
 
 # Declares one module: a static library, and a test program made of every
 # *_test.cpp that stands beside its sources.
@@ -17,7 +19,7 @@
   target_include_directories(sapphirelane_${name} PUBLIC
     ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/src)
   target_link_libraries(sapphirelane_${name} PUBLIC ${ARG_DEPENDS})
-  if(tests)
+  if(tests AND SAPPHIRELANE_TESTS)
     add_executable(sapphirelane_${name}_test ${tests}
       ${PROJECT_SOURCE_DIR}/tests/test_main.cpp)
     target_link_libraries(sapphirelane_${name}_test PRIVATE
--- a/fuzz/fuzz_head.cpp
+++ b/fuzz/fuzz_head.cpp
@@ -25,8 +25,9 @@
     }
     at = end + 1;
   }
-  const CheckedHead checked = CheckHead(head);
-  ParseLoad(text);
+  const CheckedHead checked = CheckHead(head, {});
+  ParseLoad(text, LoadFormat::UsedOfSlots);
+  ParseLoad(text, LoadFormat::RunningWaitingSlots);
   for (const Header& header : checked.forward) {
     if (checked.fault.empty() && HoldsKey(header.second)) {
       __builtin_trap();
--- a/include/sapphirelane/config/fleet.h
+++ b/include/sapphirelane/config/fleet.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
 {
   std::string id;
   std::uint32_t floor = 50; ///< Percent of slots that ejection must leave.
+  /// Connections that each endpoint accepts, where the endpoint itself does not
+  /// say; 0 for none.
+  std::uint32_t connections = 0;
 };
 
 /// @brief One address of a service.
@@ -49,9 +53,19 @@
   std::string address;           ///< "ip:port".
   std::uint32_t slots = 1;       ///< Requests served at the same time.
   std::uint32_t connections = 1; ///< Connections accepted from all hosts.
+  std::string data_centre;       ///< Empty if it is not known.
+  std::uint64_t lifetime = 0;    ///< Differs after a restart under one id.
+  Milliseconds cold{ 0 };        ///< Time for which it still works slowly.
 };
 
-/// @brief Maps a path prefix to a service.
+/// @brief A service's part of the requests of a route.
+struct TrafficShare
+{
+  std::string service;
+  double weight = 1;
+};
+
+/// @brief Maps a host name and a path prefix to a service.
 struct Route
 {
   std::string id;
@@ -61,14 +75,29 @@
   bool open = false;                ///< Served without a key.
   Milliseconds timeout{ 5000 };     ///< Deadline when the caller names none.
   std::vector<std::string> callers; ///< Accounts; empty for all accounts.
+  std::string host;                 ///< Host name; empty for all names.
+  std::vector<TrafficShare> split;  ///< Divides requests; empty for none.
+  Milliseconds target{ 0 };         ///< Latency aimed at; 0 for none.
+  std::uint32_t attempts = 0;       ///< Endpoints at most; 0 for the default.
+  std::uint32_t priority = 0;       ///< 0 is the highest.
 };
 
 /// @brief A client account with its fleet-wide limit.
 struct Account
 {
   std::string id;
-  double rate = 1;  ///< Requests a second.
+  double rate = 1;  ///< Requests a second; 0 for no limit.
   double burst = 1; ///< Requests.
+  std::optional<std::uint32_t> priority; ///< Goes before the route's.
+};
+
+/// @brief Bounds on callers that the configuration sets.
+struct CallerLimits
+{
+  std::uint64_t head_bytes = 0; ///< 0 in each field: as the settings say.
+  std::uint64_t body_bytes = 0;
+  Milliseconds head_time{ 0 };
+  Milliseconds idle{ 0 };
 };
 
 /// @brief A key of a client account; only its digest is kept.
@@ -96,6 +125,9 @@
   std::map<std::string, Account> accounts;
   std::map<std::string, Key> keys;
   std::map<std::string, Host> hosts;
+  CallerLimits limits;
+  /// Grows when endpoints change without a new version.
+  std::uint64_t endpoint_revision = 0;
 };
 
 /// @brief Finds every fault of a configuration that refers to itself wrongly
@@ -104,10 +136,13 @@
 std::vector<std::string>
 FaultsOf(const FleetConfig& aConfig);
 
-/// @brief Finds the route with the longest path prefix of a path.
+/// @brief Finds the route with the longest path prefix of a path, among those
+/// of a host name and those for all names.
 /// @return The route, or nullptr if none matches.
 const Route*
-FindRoute(const FleetConfig& aConfig, const std::string& aPath);
+FindRoute(const FleetConfig& aConfig,
+          const std::string& aHost,
+          const std::string& aPath);
 
 /// @brief Checks that text is "ip:port" with a numeric IPv4 address.
 bool
@@ -140,6 +175,11 @@
 FleetConfig
 DecodeFleet(const std::string& aText);
 
+/// @brief Decodes EncodeFleet's text without judging what it refers to.
+/// @throws ConfigError if the text cannot be decoded.
+FleetConfig
+DecodeAcceptedFleet(const std::string& aText);
+
 } // namespace sapphirelane
 
 #endif // SAPPHIRELANE_CONFIG_FLEET_H
--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -23,7 +23,11 @@
 struct PlatformSettings
 {
   std::string adapter = "http"; ///< Name of the plug-in.
+  /// Name of the plug-in for a store that others own; empty for a fleet that
+  /// keeps its own configuration.
+  std::string source;
   std::string address;          ///< "ip:port".
+  std::string terms;            ///< For the plug-in; it alone reads them.
   Milliseconds timeout{ 1000 }; ///< For one call.
 };
 
@@ -37,6 +41,16 @@
   std::uint32_t connections = 4000;           ///< From callers.
   Milliseconds idle{ 30000 };                 ///< Silent caller connection.
   Milliseconds dedup_window{ 600000 };        ///< Life of an idempotency key.
+  Milliseconds connect_timeout{ 1000 };       ///< To an endpoint.
+};
+
+/// @brief Budget of attempts beyond the first, over the whole fleet; for a
+/// store fleet only.
+struct ExtraSettings
+{
+  double share = 0.2; ///< Of the requests to a service.
+  double slack = 50;  ///< Attempts beyond that.
+  Milliseconds window{ 10000 };
 };
 
 /// @brief Names of the plug-ins that decide.
@@ -46,6 +60,9 @@
   std::string ejector = "peer-comparison";
   std::string retry = "budget";
   std::string queue = "fair";
+  std::string dialect = "sapphirelane"; ///< Of callers and upstreams.
+  std::uint32_t pool = 8;  ///< Requests of this daemon at one endpoint.
+  std::uint32_t ahead = 0; ///< Requests that may wait at an endpoint.
 };
 
 /// @brief Everything that one daemon learns from its settings file.
@@ -56,11 +73,15 @@
   ListenSettings listen;
   PlatformSettings platform;
   std::vector<std::string> seeds; ///< Peer addresses, "ip:port".
+  bool seeds_use_peer_port = false; ///< Only the seeds' IP numbers count.
   std::string fleet_secret;
   std::string operator_digest; ///< Digest of the operators' credential.
   std::string static_fleet;    ///< File used in place of the platform.
   std::string log;             ///< Empty for standard output.
   Milliseconds drain{ 30000 }; ///< Longest planned stop.
+  /// How long a balancer takes to notice that this host is not ready.
+  Milliseconds balancer_notice{ 500 };
+  ExtraSettings extras;
   LimitSettings limits;
   PolicySettings policies;
 };
--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,24 @@
   std::string endpoint;
   std::uint32_t answered = 0;
   std::uint32_t bad = 0;
+  std::uint32_t shed = 0;
+  Duration answer_time{ 0 }; ///< Mean time of those answered; 0 if unknown.
+  /// Requests that other daemons have there now; nothing if it is not known.
+  std::optional<std::uint32_t> in_flight;
+};
+
+/// @brief How work of this daemon on an endpoint stands.
+struct WorkReport
+{
+  std::string service;
+  std::string endpoint;
+  std::uint32_t in_flight = 0; ///< Requests of this daemon there, now.
+  std::uint32_t answered = 0;  ///< Since the report before.
+  std::uint32_t bad = 0;
+  std::uint32_t shed = 0;
+  Duration answer_time{ 0 }; ///< Of the request that was answered.
+  bool begins = false;       ///< The first attempt of a request begins.
+  bool extra = false;        ///< A further attempt of a request begins.
 };
 
 /// @brief Evidence of other daemons about one service.
@@ -107,6 +126,19 @@
   virtual void ShareEvidence(const FleetEvidence& aEvidence,
                              TimePoint aNow) = 0;
 
+  /// @brief Tells the fleet how work on an endpoint stands.
+  virtual void ShareWork(const WorkReport& /*aReport*/, TimePoint /*aNow*/) {}
+
+  /// @brief Asks for one attempt beyond the first from the service's budget,
+  /// which the whole fleet shares, and spends it if it is given.
+  virtual bool TakeExtra(const std::string& /*aService*/, TimePoint /*aNow*/)
+  {
+    return true;
+  }
+
+  /// @brief The daemon's data centre; empty if that does not matter.
+  virtual std::string DataCentre() const { return {}; }
+
   /// @brief Takes the events that have come in.
   virtual std::vector<ControlEvent> TakeEvents() = 0;
 };
--- a/include/sapphirelane/membership/node_env.h
+++ b/include/sapphirelane/membership/node_env.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "sapphirelane/base/time.h"
-#include "sapphirelane/platform/platform.h"
+#include "sapphirelane/store/store.h"
 #include "sapphirelane/wire/messages.h"
 
 namespace sapphirelane {
--- a/include/sapphirelane/proxy/caller_front.h
+++ b/include/sapphirelane/proxy/caller_front.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "sapphirelane/config/fleet.h"
 #include "sapphirelane/config/settings.h"
 #include "sapphirelane/proxy/exchange.h"
 
@@ -17,9 +18,17 @@
 public:
   virtual ~CallerFront() = default;
 
-  /// @brief Takes no new connections from now on.
+  /// @brief Ends each connection with its next answer from now on; new
+  /// connections are still taken.
+  virtual void CloseAfterAnswers() = 0;
+
+  /// @brief Takes no new connections from now on, and ends those that wait for
+  /// no answer.
   virtual void StopListening() = 0;
 
+  /// @brief Sets the bounds on heads, bodies and silence.
+  virtual void SetLimits(const CallerLimits& aLimits) = 0;
+
   /// @brief Number of requests whose answer is not handed over whole yet.
   virtual std::size_t Open() const = 0;
 };
@@ -30,6 +39,7 @@
   std::string address = "127.0.0.1";
   std::uint16_t port = 8080;
   LimitSettings limits;
+  HttpDialect dialect;
   std::uint64_t first_request = 1; ///< Number of the first request.
 };
 
--- a/include/sapphirelane/proxy/dispatcher.h
+++ b/include/sapphirelane/proxy/dispatcher.h
@@ -50,7 +50,7 @@
 {
   LimitSettings limits;
   PolicySettings policies;
-  std::uint32_t pool = 8;     ///< Connections to one endpoint.
+  HttpDialect dialect;
   std::uint64_t seed = 1;     ///< Of the choices made at random.
   std::uint64_t first_id = 1; ///< Number of the first attempt.
 };
--- a/include/sapphirelane/proxy/http.h
+++ b/include/sapphirelane/proxy/http.h
@@ -8,18 +8,12 @@
 #include <vector>
 
 #include "sapphirelane/base/time.h"
+#include "sapphirelane/proxy/dialect.h"
 
 namespace sapphirelane {
 
-/// @brief Header names of the project, as callers and upstreams see them.
-constexpr const char* kOutcomeHeader = "X-Sapphirelane-Outcome";
-constexpr const char* kRequestIdHeader = "X-Sapphirelane-Request";
-constexpr const char* kDeadlineHeader = "X-Sapphirelane-Deadline-Ms";
-constexpr const char* kAccountHeader = "X-Sapphirelane-Account";
-constexpr const char* kLoadHeader = "X-Sapphirelane-Load";
-constexpr const char* kShedHeader = "X-Sapphirelane-Shed";
+/// @brief Headers that only the product's own dialect has.
 constexpr const char* kRepeatHeader = "X-Sapphirelane-Repeat";
-constexpr const char* kIdempotencyHeader = "Idempotency-Key";
 
 using Header = std::pair<std::string, std::string>;
 using Headers = std::vector<Header>;
@@ -43,6 +37,8 @@
 struct CheckedHead
 {
   std::string path;        ///< Target without the query.
+  std::string host;        ///< Host name in lower case, without a port.
+  std::string request_id;  ///< As the caller named it; empty if it did not.
   Headers forward;         ///< Headers that may go to an upstream.
   std::string key_digest;  ///< Of the presented key; empty if none.
   std::string idempotency; ///< Idempotency key; empty if none.
@@ -58,7 +54,7 @@
 /// conflicting lengths, several keys, keys outside their header, and
 /// deadlines or idempotency keys that are malformed.
 CheckedHead
-CheckHead(const RequestHead& aRequest);
+CheckHead(const RequestHead& aRequest, const HttpDialect& aDialect);
 
 /// @brief Head of an answer.
 struct ResponseHead
@@ -68,14 +64,14 @@
   std::optional<std::uint64_t> length;
 };
 
-/// @brief Removes hop-by-hop headers of an upstream's answer.
+/// @brief Removes hop-by-hop headers of an upstream's answer, and those that
+/// are meant for the daemon.
 Headers
-AnswerHeaders(const Headers& aHeaders);
+AnswerHeaders(const Headers& aHeaders, const HttpDialect& aDialect);
 
-/// @brief Reads an upstream's load report, "in use/slots".
-/// @return Share of slots in use, or nothing if it is malformed.
-std::optional<double>
-ParseLoad(const std::string& aText);
+/// @brief Tells whether an upstream says that it did not run the request.
+bool
+SaysNotRun(const ResponseHead& aHead, const HttpDialect& aDialect);
 
 } // namespace sapphirelane
 
--- a/include/sapphirelane/proxy/refusal.h
+++ b/include/sapphirelane/proxy/refusal.h
@@ -28,7 +28,9 @@
 /// @brief Answers an exchange with a refusal.
 /// @return False if it was answered already.
 bool
-Refuse(Exchange& aExchange, const Refusal& aRefusal);
+Refuse(Exchange& aExchange,
+       const Refusal& aRefusal,
+       const HttpDialect& aDialect);
 
 /// @brief Word of an outcome in the answer's header.
 const char*
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -14,6 +14,16 @@
 
 namespace sapphirelane {
 
+/// @brief What is to be placed.
+struct PlaceRequest
+{
+  bool may_try = false;        ///< May serve as a trial of an ejected endpoint.
+  bool repeatable = false;     ///< A failure can be mended by another attempt.
+  std::uint64_t body_bytes = 0;
+  Duration target{ 0 };        ///< Latency aimed at; 0 for none.
+  std::vector<std::string> avoid; ///< Endpoints that it was sent to before.
+};
+
 /// @brief How one attempt is placed.
 struct Placement
 {
@@ -23,13 +33,21 @@
   std::string reason; ///< For the log.
 };
 
+/// @brief Options of a service's state.
+struct ServiceStateOptions
+{
+  std::uint32_t pool = 8;  ///< Requests of this daemon at one endpoint.
+  std::uint32_t ahead = 0; ///< Requests that may wait at an endpoint.
+  std::string data_centre; ///< This daemon's.
+};
+
 /// @brief What a daemon knows of one service: endpoints, health and load.
 class ServiceState
 {
 public:
   ServiceState(std::unique_ptr<Balancer> aBalancer,
                std::unique_ptr<Ejector> aEjector,
-               std::uint32_t aPool);
+               ServiceStateOptions aOptions);
 
   /// @brief Takes over the service's endpoints of a configuration.
   /// @param aRank Place of this host among aHosts entry hosts.
@@ -39,11 +57,8 @@
             std::size_t aHosts,
             TimePoint aNow);
 
-  /// @brief Chooses an endpoint that has a slot free.
-  /// @param aMayTry The request may serve as a trial of an ejected endpoint.
-  /// @param aAvoid Endpoints that the request was sent to before.
-  std::optional<Placement> Place(bool aMayTry,
-                                 const std::vector<std::string>& aAvoid,
+  /// @brief Chooses an endpoint that has room.
+  std::optional<Placement> Place(const PlaceRequest& aRequest,
                                  TimePoint aNow,
                                  Random& aRandom);
 
@@ -54,6 +69,16 @@
   void Begin(const std::string& aEndpoint);
   void End(const std::string& aEndpoint);
 
+  /// @brief Requests of this daemon at an endpoint.
+  std::uint32_t InFlight(const std::string& aEndpoint) const;
+
+  /// @brief Time after which a request that is enqueued now finds a slot.
+  /// @param aWaiting Requests of this daemon that wait already.
+  Duration ExpectedWait(std::size_t aWaiting) const;
+
+  /// @brief Mean time to an answer, over the endpoints; 0 if unknown.
+  Duration MeanLatency() const;
+
   /// @brief Notes a load report.
   void Report(const std::string& aEndpoint, double aLoad, TimePoint aNow);
 
@@ -87,23 +112,30 @@
   {
     Endpoint endpoint;
     std::uint32_t in_flight = 0;
+    std::uint32_t others_in_flight = 0;
     double load = 0;
     TimePoint load_time{};
     Duration latency{ 0 };
     TimePoint latency_time{};
     TimePoint since{};
+    TimePoint cold_until{};
     bool in_subset = true;
     bool trial_running = false;
     EndpointEvidence evidence;
   };
 
-  bool HasRoom(const EndpointState& aState) const;
+  std::uint32_t Room(const EndpointState& aState) const;
   bool MayChoose(const EndpointState& aState) const;
-  Candidate CandidateOf(const EndpointState& aState, TimePoint aNow) const;
+  Candidate CandidateOf(const EndpointState& aState,
+                        const PlaceRequest& aRequest,
+                        TimePoint aNow) const;
+  static void NoteLatency(EndpointState& aState,
+                          Duration aElapsed,
+                          TimePoint aNow);
 
   std::unique_ptr<Balancer> m_balancer;
   std::unique_ptr<Ejector> m_ejector;
-  std::uint32_t m_pool;
+  ServiceStateOptions m_options;
   std::string m_service;
   std::uint32_t m_floor = 0;
   std::map<std::string, EndpointState> m_endpoints;
--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -16,7 +16,8 @@
 {
   std::uint64_t id = 0;
   ExchangePtr exchange;
-  std::string address; ///< "ip:port".
+  std::string endpoint; ///< Id; its connections serve no other endpoint.
+  std::string address;  ///< "ip:port".
   std::string method;
   std::string target;
   Headers headers;
@@ -24,8 +25,13 @@
   std::optional<std::uint64_t> length; ///< Of the body; none if chunked.
   bool rewind = false;         ///< Send the body once more from its start.
   bool new_connection = false; ///< Use no connection from the pool.
-  TimePoint send_before{};     ///< Refuse to send at or after this moment.
-  TimePoint deadline{};
+  bool hold = false; ///< Report the head only when the answer is whole.
+  std::string deadline_header; ///< Told the time left; empty for none.
+  std::string echo_header;     ///< The answer repeats echo in it, or empty.
+  std::string echo;
+  TimePoint send_before{}; ///< Refuse to send at or after this moment.
+  TimePoint deadline{};    ///< Told to the upstream.
+  TimePoint give_up{};     ///< The attempt is broken off then.
 };
 
 /// @brief What happened to an attempt.
@@ -43,6 +49,7 @@
   bool whole = false;        ///< With End: the answer came whole.
   bool sent = true;          ///< With End: a byte may have left.
   bool caller_fault = false; ///< With End: the caller broke its body off.
+  bool stale = false; ///< With End: a kept connection proved to be dead.
   std::string error;         ///< With End, if not whole.
   std::string kept_body;     ///< With End: the body, if small enough.
   bool body_kept = false;    ///< With End: kept_body is the whole body.
@@ -68,12 +75,12 @@
 struct UpstreamIoOptions
 {
   std::size_t ring = 8192;              ///< Orders that may wait.
-  long pool_per_endpoint = 8;           ///< Connections to one endpoint.
+  std::size_t pool_per_endpoint = 8;    ///< Idle connections to one endpoint.
   Milliseconds connect_timeout{ 1000 }; ///< For a new connection.
   Milliseconds proven_for{ 5000 };      ///< Idle time after which to reconnect.
 };
 
-/// @brief Duty that makes attempts with libcurl.
+/// @brief Duty that makes attempts over HTTP/1.1.
 class UpstreamIoDuty
   : public Duty
   , public UpstreamIo
--- a/include/sapphirelane/routing/balancer.h
+++ b/include/sapphirelane/routing/balancer.h
@@ -19,10 +19,16 @@
   std::string id;
   std::uint32_t slots = 1;
   std::uint32_t in_flight = 0;  ///< Requests of this daemon.
+  std::uint32_t others_in_flight = 0; ///< Requests of other daemons.
   double reported_load = 0;     ///< Share of slots in use, as reported.
   Duration report_age{ 0 };     ///< Age of the report.
   Duration latency{ 0 };        ///< Smoothed time to the first byte.
   Duration in_service_for{ 0 }; ///< Since the endpoint became eligible.
+  Duration target{ 0 };         ///< Latency aimed at; 0 for none.
+  double failure = 0;           ///< Probability that it fails the request.
+  double failure_cost = 0;      ///< What a failure loses, in requests.
+  double transfer_cost = 0;     ///< Of sending it there, in requests.
+  bool cold = false;            ///< Works slowly, as it has just started.
 };
 
 /// @brief Chooses the endpoint of one attempt.
@@ -55,6 +61,27 @@
 std::unique_ptr<Balancer>
 MakeTwoChoices(TwoChoicesOptions aOptions);
 
+/// @brief Options of the expected-cost balancer. Costs are in requests lost.
+struct ExpectedCostOptions
+{
+  double late_cost = 0.7;  ///< Of an answer that misses its target.
+  double load_cost = 0.03; ///< Of all slots of an endpoint being in use.
+  double cold_factor = 2;  ///< Times as long that a cold endpoint takes.
+  double tie = 0.005;      ///< Costs this close are drawn from at random.
+  Duration default_latency = Milliseconds(200); ///< Where none is known.
+  Duration default_target = Milliseconds(1000); ///< Where none is set.
+};
+
+/// @brief Takes the candidate that is expected to lose least.
+///
+/// Answers requests that find most endpoints idle and some of them failing: it
+/// weighs the probability of a failure, which counts in full for work that
+/// cannot be repeated, against waiting for a slot and against sending a large
+/// body to another data centre. Needs to know other daemons' requests in
+/// flight; without them, daemons choose the same endpoint.
+std::unique_ptr<Balancer>
+MakeExpectedCost(ExpectedCostOptions aOptions);
+
 /// @brief Takes the candidates in turn; a baseline.
 std::unique_ptr<Balancer>
 MakeRoundRobin();
--- a/include/sapphirelane/routing/ejector.h
+++ b/include/sapphirelane/routing/ejector.h
@@ -16,7 +16,8 @@
 {
   Answered, ///< The first byte of an answer came.
   Stalled,  ///< No first byte within the time expected of the service.
-  Failed,   ///< Connection refused, reset or broken off.
+  Failed,   ///< Connection refused, reset or broken off, or a server error.
+  Shed,     ///< It said that it did not run the request.
   ProbeOk,  ///< A health probe was answered; real work it is not.
 };
 
@@ -75,6 +76,16 @@
 
   /// @brief Time after which work on this service counts as stalled.
   virtual Duration StallAfter(TimePoint aNow) const = 0;
+
+  /// @brief Probability that an endpoint fails the next request.
+  virtual double FailureOf(const std::string& /*aEndpoint*/,
+                           TimePoint /*aNow*/) const
+  {
+    return 0;
+  }
+
+  /// @brief Forgets an endpoint that has started anew.
+  virtual void Reset(const std::string& /*aEndpoint*/) {}
 };
 
 using EjectorRegistry = Registry<Ejector>;
@@ -109,6 +120,34 @@
 std::unique_ptr<Ejector>
 MakePeerComparison(PeerComparisonOptions aOptions);
 
+/// @brief Options of the spell ejector.
+struct SpellOptions
+{
+  Duration first_sick = Milliseconds(2000); ///< Length of a spell, assumed.
+  Duration least_sick = Milliseconds(500);
+  Duration most_sick = Milliseconds(15000);
+  Duration first_sound = Milliseconds(20000); ///< Between spells, assumed.
+  Duration least_sound = Milliseconds(2000);
+  Duration most_sound = Milliseconds(600000);
+  double sick_failure = 0.7;   ///< Share of requests failed in a spell, assumed.
+  double sound_failure = 0.02; ///< Share of requests failed otherwise, assumed.
+  double shed_weight = 0.5;    ///< Weight of a shed request as a failure.
+  double stall_factor = 5;     ///< Stall threshold in service latencies.
+  Duration least_stall = Milliseconds(400);
+  Duration most_stall = Milliseconds(3000);
+};
+
+/// @brief Believes that each endpoint is sound or in a spell of failures.
+///
+/// Answers endpoints that fail most of their requests for a few seconds, again
+/// and again, while their probes are answered. Each result moves the odds of a
+/// spell by its likelihood; between results the odds drift back at the rate at
+/// which spells have begun and ended in this service, so an endpoint is tried
+/// again when its spell is likely to be over. Ejects nobody: the balancer
+/// weighs the probability, so that a service is never left without endpoints.
+std::unique_ptr<Ejector>
+MakeSpellEjector(SpellOptions aOptions);
+
 /// @brief Options of the consecutive-failures ejector.
 struct ConsecutiveFailuresOptions
 {
--- a/include/sapphirelane/platform/http_client.h
+++ b/include/sapphirelane/store/http_client.h
@@ -1,5 +1,5 @@
-#ifndef SAPPHIRELANE_PLATFORM_HTTP_CLIENT_H
-#define SAPPHIRELANE_PLATFORM_HTTP_CLIENT_H
+#ifndef SAPPHIRELANE_STORE_HTTP_CLIENT_H
+#define SAPPHIRELANE_STORE_HTTP_CLIENT_H
 
 #include <memory>
 #include <string>
@@ -36,4 +36,4 @@
 
 } // namespace sapphirelane
 
-#endif // SAPPHIRELANE_PLATFORM_HTTP_CLIENT_H
+#endif // SAPPHIRELANE_STORE_HTTP_CLIENT_H
--- a/include/sapphirelane/platform/platform.h
+++ b/include/sapphirelane/store/store.h
@@ -1,5 +1,5 @@
-#ifndef SAPPHIRELANE_PLATFORM_PLATFORM_H
-#define SAPPHIRELANE_PLATFORM_PLATFORM_H
+#ifndef SAPPHIRELANE_STORE_STORE_H
+#define SAPPHIRELANE_STORE_STORE_H
 
 #include <cstdint>
 #include <memory>
@@ -101,4 +101,4 @@
 
 } // namespace sapphirelane
 
-#endif // SAPPHIRELANE_PLATFORM_PLATFORM_H
+#endif // SAPPHIRELANE_STORE_STORE_H
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -389,6 +389,130 @@
   }
 };
 
+/// @brief Tells that a daemon of a store fleet is there.
+struct PresenceNews
+{
+  MemberInfo self;
+  std::uint64_t started_ms = 0; ///< Wall clock; the newest run of a host counts.
+  bool leaving = false;
+  std::vector<std::uint32_t> neighbours; ///< Hashes of hosts it hears.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(self, started_ms, leaving, neighbours);
+  }
+};
+
+/// @brief How work of one daemon on one endpoint stands.
+struct EndpointWork
+{
+  std::uint32_t endpoint = 0; ///< Hash of its id.
+  std::uint16_t in_flight = 0;
+  std::uint16_t answered = 0; ///< Since the message before.
+  std::uint16_t bad = 0;
+  std::uint16_t shed = 0;
+  std::uint16_t answer_ms = 0; ///< Mean time of those answered.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(endpoint, in_flight, answered, bad, shed, answer_ms);
+  }
+};
+
+/// @brief Requests of an account that a daemon has let through since its start.
+struct AccountWork
+{
+  std::uint32_t account = 0; ///< Hash of its id.
+  std::uint32_t spent = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(account, spent);
+  }
+};
+
+/// @brief First and further attempts that a daemon has made since its start.
+struct ServiceWork
+{
+  std::uint32_t service = 0; ///< Hash of its id.
+  std::uint32_t requests = 0;
+  std::uint32_t extras = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(service, requests, extras);
+  }
+};
+
+/// @brief What one daemon does, for all others; states, not changes, wherever
+/// a lost message must not matter.
+struct WorkNews
+{
+  NodeId origin = 0;
+  std::uint32_t sequence = 0; ///< Of the origin's messages.
+  bool spread = false;        ///< The receiver sends it on in its data centre.
+  std::vector<EndpointWork> endpoints;
+  std::vector<AccountWork> accounts;
+  std::vector<ServiceWork> services;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(origin, sequence, spread, endpoints, accounts, services);
+  }
+};
+
+/// @brief An endpoint as the store has it, or that it is gone.
+struct WireEndpoint
+{
+  std::string id;
+  std::uint64_t version = 0; ///< Of its row.
+  bool gone = false;
+  bool leaving = false;
+  std::string service;
+  std::string address;
+  std::string data_centre;
+  std::uint32_t slots = 1;
+  std::uint64_t lifetime = 0;
+  std::uint32_t cold_ms = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id,
+             version,
+             gone,
+             leaving,
+             service,
+             address,
+             data_centre,
+             slots,
+             lifetime,
+             cold_ms);
+  }
+};
+
+/// @brief What a daemon has read of the store.
+struct ViewNews
+{
+  bool spread = false;       ///< The receiver sends it on in its data centre.
+  std::uint32_t age_ms = 0;  ///< Since the store was asked.
+  std::uint64_t base = 0;    ///< The changes follow on this version.
+  std::uint64_t version = 0; ///< Of the endpoints, with the changes.
+  std::vector<WireEndpoint> changes;
+  std::uint64_t config_version = 0; ///< The newest that the sender holds.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(spread, age_ms, base, version, changes, config_version);
+  }
+};
+
 /// @brief Every message that travels in one datagram.
 using PeerMessage = std::variant<Heartbeat,
                                  SuspectNews,
@@ -410,7 +534,10 @@
                                  EvidenceNews,
                                  WithdrawNews,
                                  WithdrawAck,
-                                 Relay>;
+                                 Relay,
+                                 PresenceNews,
+                                 WorkNews,
+                                 ViewNews>;
 
 /// @brief Asks a peer for the newest head and what leads to it.
 struct FetchState
@@ -542,6 +669,34 @@
   }
 };
 
+/// @brief Asks a daemon of a store fleet for its view.
+struct FetchView
+{
+  std::uint64_t config_version = 0; ///< What the asker has; 0 for nothing.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(config_version);
+  }
+};
+
+/// @brief Answers a FetchView.
+struct ViewReply
+{
+  bool known = false;        ///< The daemon has a view.
+  std::uint32_t age_ms = 0;  ///< Since the store was asked.
+  std::uint64_t version = 0; ///< Of the endpoints.
+  std::vector<WireEndpoint> endpoints; ///< All of them.
+  std::string config; ///< See EncodeFleet; empty if the asker has it.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(known, age_ms, version, endpoints, config);
+  }
+};
+
 /// @brief Requests and replies that travel over TCP.
 using BulkMessage = std::variant<FetchState,
                                  StateReply,
@@ -549,7 +704,9 @@
                                  ClaimsReply,
                                  HandOver,
                                  HandOverReply,
-                                 SeatTransfer>;
+                                 SeatTransfer,
+                                 FetchView,
+                                 ViewReply>;
 
 } // namespace sapphirelane
 
--- a/scripts/check_includes.py
+++ b/scripts/check_includes.py
@@ -4,8 +4,8 @@
 import re
 import sys
 
-ORDER = ["base", "config", "wire", "platform", "routing", "admission",
-         "claims", "membership", "kernel", "proxy", "programs"]
+ORDER = ["base", "config", "wire", "store", "routing", "admission",
+         "claims", "membership", "relay", "kernel", "proxy", "programs"]
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 INCLUDE = re.compile(r'#include "sapphirelane/([a-z_]+)/')
 
--- a/src/sapphirelane/config/change_set_test.cpp
+++ b/src/sapphirelane/config/change_set_test.cpp
@@ -119,9 +119,9 @@
   for (const char* path : { "/a", "/a/b", "/ab" }) {
     m_config.routes[path] = { path, path };
   }
-  CHECK(FindRoute(m_config, "/a/b/c")->path == "/a/b");
-  CHECK(FindRoute(m_config, "/a/x")->path == "/a");
-  CHECK(FindRoute(m_config, "/abc") == nullptr);
+  CHECK(FindRoute(m_config, "", "/a/b/c")->path == "/a/b");
+  CHECK(FindRoute(m_config, "", "/a/x")->path == "/a");
+  CHECK(FindRoute(m_config, "", "/abc") == nullptr);
 }
 
 } // namespace
--- a/src/sapphirelane/config/fleet.cpp
+++ b/src/sapphirelane/config/fleet.cpp
@@ -66,34 +66,64 @@
 json
 Row(const Service& aService)
 {
-  return { { "floor", aService.floor } };
+  json row = { { "floor", aService.floor } };
+  if (aService.connections > 0) {
+    row["connections"] = aService.connections;
+  }
+  return row;
 }
 
 json
 Row(const Endpoint& aEndpoint)
 {
-  return { { "state", StateName(aEndpoint.state) },
-           { "service", aEndpoint.service },
-           { "address", aEndpoint.address },
-           { "slots", aEndpoint.slots },
-           { "connections", aEndpoint.connections } };
+  json row = { { "state", StateName(aEndpoint.state) },
+               { "service", aEndpoint.service },
+               { "address", aEndpoint.address },
+               { "slots", aEndpoint.slots },
+               { "connections", aEndpoint.connections } };
+  if (!aEndpoint.data_centre.empty()) {
+    row["data_centre"] = aEndpoint.data_centre;
+  }
+  return row;
 }
 
 json
 Row(const Route& aRoute)
 {
-  return { { "path", aRoute.path },
-           { "service", aRoute.service },
-           { "mode", ModeName(aRoute.mode) },
-           { "open", aRoute.open },
-           { "timeout_ms", aRoute.timeout.count() },
-           { "callers", aRoute.callers } };
+  json row = { { "path", aRoute.path },
+               { "service", aRoute.service },
+               { "mode", ModeName(aRoute.mode) },
+               { "open", aRoute.open },
+               { "timeout_ms", aRoute.timeout.count() },
+               { "callers", aRoute.callers } };
+  // Optional fields are written only if they are set.
+  if (!aRoute.host.empty()) {
+    row["host"] = aRoute.host;
+  }
+  if (aRoute.target > Milliseconds::zero()) {
+    row["target_ms"] = aRoute.target.count();
+  }
+  if (aRoute.attempts > 0) {
+    row["attempts"] = aRoute.attempts;
+  }
+  if (aRoute.priority > 0) {
+    row["priority"] = aRoute.priority;
+  }
+  for (const TrafficShare& share : aRoute.split) {
+    row["split"].push_back(
+      { { "service", share.service }, { "weight", share.weight } });
+  }
+  return row;
 }
 
 json
 Row(const Account& aAccount)
 {
-  return { { "rate", aAccount.rate }, { "burst", aAccount.burst } };
+  json row = { { "rate", aAccount.rate }, { "burst", aAccount.burst } };
+  if (aAccount.priority) {
+    row["priority"] = *aAccount.priority;
+  }
+  return row;
 }
 
 json
@@ -112,6 +142,7 @@
 Read(const json& aRow, Service& aService)
 {
   aRow.at("floor").get_to(aService.floor);
+  aService.connections = aRow.value("connections", 0U);
 }
 
 void
@@ -122,6 +153,7 @@
   aRow.at("address").get_to(aEndpoint.address);
   aRow.at("slots").get_to(aEndpoint.slots);
   aRow.at("connections").get_to(aEndpoint.connections);
+  aEndpoint.data_centre = aRow.value("data_centre", std::string());
 }
 
 void
@@ -133,6 +165,14 @@
   aRow.at("open").get_to(aRoute.open);
   aRoute.timeout = Milliseconds(aRow.at("timeout_ms").get<std::int64_t>());
   aRow.at("callers").get_to(aRoute.callers);
+  aRoute.host = aRow.value("host", std::string());
+  aRoute.target = Milliseconds(aRow.value("target_ms", std::int64_t{ 0 }));
+  aRoute.attempts = aRow.value("attempts", 0U);
+  aRoute.priority = aRow.value("priority", 0U);
+  for (const json& share : aRow.value("split", json::array())) {
+    aRoute.split.push_back({ share.at("service").get<std::string>(),
+                             share.at("weight").get<double>() });
+  }
 }
 
 void
@@ -140,6 +180,9 @@
 {
   aRow.at("rate").get_to(aAccount.rate);
   aRow.at("burst").get_to(aAccount.burst);
+  if (aRow.contains("priority")) {
+    aAccount.priority = aRow.at("priority").get<std::uint32_t>();
+  }
 }
 
 void
@@ -318,7 +361,15 @@
         return name() + "account \"" + caller + "\" does not exist";
       });
     }
-    const auto other = m_paths.emplace(aRoute.path, aRoute.id).first;
+    for (const TrafficShare& share : aRoute.split) {
+      Expect(m_config.services.count(share.service) == 1, [&] {
+        return name() + "service \"" + share.service + "\" does not exist";
+      });
+      Expect(std::isfinite(share.weight) && share.weight >= 0,
+             [&] { return name() + "a weight is below 0"; });
+    }
+    const std::string place = aRoute.host + aRoute.path;
+    const auto other = m_paths.emplace(place, aRoute.id).first;
     Expect(other->second == aRoute.id, [&] {
       return name() + "path \"" + aRoute.path + "\" is that of route \"" +
              other->second + "\"";
@@ -351,7 +402,7 @@
 
   const FleetConfig& m_config;
   std::vector<std::string> m_faults;
-  std::map<std::string, std::string> m_paths; ///< Route ids by path.
+  std::map<std::string, std::string> m_paths; ///< Route ids by host and path.
 };
 
 } // namespace
@@ -363,11 +414,16 @@
 }
 
 const Route*
-FindRoute(const FleetConfig& aConfig, const std::string& aPath)
+FindRoute(const FleetConfig& aConfig,
+          const std::string& aHost,
+          const std::string& aPath)
 {
   const Route* best = nullptr;
   for (const auto& entry : aConfig.routes) {
     const Route& route = entry.second;
+    if (!route.host.empty() && route.host != aHost) {
+      continue;
+    }
     const bool matches = aPath.compare(0, route.path.size(), route.path) == 0;
     const bool whole = aPath.size() == route.path.size() ||
                        route.path.back() == '/' ||
@@ -445,11 +501,18 @@
 EncodeFleet(const FleetConfig& aConfig)
 {
   json text = { { "version", aConfig.version }, { "rows", RowsOf(aConfig) } };
+  const CallerLimits& limits = aConfig.limits;
+  if (limits.body_bytes > 0) {
+    text["limits"] = { { "head_bytes", limits.head_bytes },
+                       { "body_bytes", limits.body_bytes },
+                       { "head_ms", limits.head_time.count() },
+                       { "idle_ms", limits.idle.count() } };
+  }
   return text.dump();
 }
 
 FleetConfig
-DecodeFleet(const std::string& aText)
+DecodeAcceptedFleet(const std::string& aText)
 {
   FleetConfig config;
   try {
@@ -458,9 +521,25 @@
     for (const auto& [key, row] : text.at("rows").items()) {
       SetRow(config, key, row);
     }
+    if (text.contains("limits")) {
+      const json& limits = text.at("limits");
+      limits.at("head_bytes").get_to(config.limits.head_bytes);
+      limits.at("body_bytes").get_to(config.limits.body_bytes);
+      config.limits.head_time =
+        Milliseconds(limits.at("head_ms").get<std::int64_t>());
+      config.limits.idle =
+        Milliseconds(limits.at("idle_ms").get<std::int64_t>());
+    }
   } catch (const json::exception& error) {
     throw ConfigError(std::string("fleet configuration: ") + error.what());
   }
+  return config;
+}
+
+FleetConfig
+DecodeFleet(const std::string& aText)
+{
+  FleetConfig config = DecodeAcceptedFleet(aText);
   const auto faults = FaultsOf(config);
   if (!faults.empty()) {
     throw ConfigError("fleet configuration: " + faults.front());
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -30,14 +30,47 @@
   }
 }
 
+/// Reads a port, or "ip:port", which sets the address too.
+void
+ReadListener(YamlReader& aReader,
+             const std::string& aField,
+             std::string& aAddress,
+             std::uint16_t& aPort)
+{
+  std::string text;
+  aReader.Read(aField, text);
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    aReader.Read(aField, aPort, kLowestPort, kHighestPort);
+    return;
+  }
+  if (!IsAddress(text)) {
+    aReader.Refuse(aField, "a port or ip:port");
+  }
+  aAddress = text.substr(0, colon);
+  aPort = static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1)));
+}
+
 void
 ReadListen(YamlReader aReader, ListenSettings& aListen)
 {
   ReadIp(aReader, "address", aListen.address);
   ReadIp(aReader, "operator_address", aListen.operator_address);
-  aReader.Read("callers", aListen.callers, kLowestPort, kHighestPort);
+  ReadListener(aReader, "callers", aListen.address, aListen.callers);
   aReader.Read("peers", aListen.peers, kLowestPort, kHighestPort);
-  aReader.Read("operators", aListen.operators, kLowestPort, kHighestPort);
+  ReadListener(
+    aReader, "operators", aListen.operator_address, aListen.operators);
+  aReader.Finish();
+}
+
+void
+ReadExtras(YamlReader aReader, ExtraSettings& aExtras)
+{
+  constexpr double kMostShare = 10;
+  constexpr double kMostSlack = 1e6;
+  aReader.Read("share", aExtras.share, 0, kMostShare);
+  aReader.Read("slack", aExtras.slack, 0, kMostSlack);
+  aReader.Read("window_ms", aExtras.window, Milliseconds(100), kOneHour);
   aReader.Finish();
 }
 
@@ -45,7 +78,9 @@
 ReadPlatform(YamlReader aReader, PlatformSettings& aPlatform)
 {
   aReader.Read("adapter", aPlatform.adapter);
+  aReader.Read("source", aPlatform.source);
   aReader.Read("address", aPlatform.address);
+  aReader.Read("terms", aPlatform.terms);
   if (aPlatform.adapter != "memory" && !IsAddress(aPlatform.address)) {
     aReader.Refuse("address", "ip:port");
   }
@@ -67,6 +102,10 @@
   aReader.Read("idle_ms", aLimits.idle, Milliseconds(1000), kOneHour);
   aReader.Read(
     "dedup_window_ms", aLimits.dedup_window, Milliseconds(1000), kOneDay);
+  aReader.Read("connect_timeout_ms",
+               aLimits.connect_timeout,
+               Milliseconds(10),
+               kOneHour);
   aReader.Finish();
 }
 
@@ -77,6 +116,9 @@
   aReader.Read("ejector", aPolicies.ejector);
   aReader.Read("retry", aPolicies.retry);
   aReader.Read("queue", aPolicies.queue);
+  aReader.Read("dialect", aPolicies.dialect);
+  aReader.Read("pool", aPolicies.pool, 1, kMostRequests);
+  aReader.Read("ahead", aPolicies.ahead, 0, kMostRequests);
   aReader.Finish();
 }
 
@@ -98,6 +140,7 @@
       aReader.Refuse("seeds", "a list of ip:port");
     }
   }
+  aReader.Read("seeds_use_peer_port", settings.seeds_use_peer_port);
   settings.fleet_secret = aReader.Required("fleet_secret");
   if (settings.fleet_secret.size() < kLeastSecretLength) {
     aReader.Refuse("fleet_secret", "at least 16 characters");
@@ -108,6 +151,11 @@
   }
   aReader.Read("log", settings.log);
   aReader.Read("drain_ms", settings.drain, Milliseconds(0), kOneHour);
+  aReader.Read("balancer_notice_ms",
+               settings.balancer_notice,
+               Milliseconds(0),
+               kOneHour);
+  ReadExtras(aReader.Map("extras"), settings.extras);
   ReadLimits(aReader.Map("limits"), settings.limits);
   ReadPolicies(aReader.Map("policies"), settings.policies);
   aReader.Finish();
--- a/src/sapphirelane/membership/node.cpp
+++ b/src/sapphirelane/membership/node.cpp
@@ -479,6 +479,15 @@
 
   // Messages.
 
+  /// Messages of a store fleet mean nothing to this one.
+  template<typename Other>
+  void Handle(NodeId /*aFrom*/,
+              const std::string& /*aAddress*/,
+              const Other& /*aMessage*/,
+              TimePoint /*aNow*/)
+  {
+  }
+
   void Handle(NodeId /*aFrom*/,
               const std::string& aAddress,
               const Heartbeat& aBeat,
--- a/src/sapphirelane/programs/ctl.cpp
+++ b/src/sapphirelane/programs/ctl.cpp
@@ -17,7 +17,7 @@
 #include "sapphirelane/base/secret.h"
 #include "sapphirelane/config/change_set.h"
 #include "sapphirelane/config/sheet.h"
-#include "sapphirelane/platform/http_client.h"
+#include "sapphirelane/store/http_client.h"
 
 namespace {
 
--- a/src/sapphirelane/programs/entry.cpp
+++ b/src/sapphirelane/programs/entry.cpp
@@ -20,19 +20,41 @@
 constexpr int kExitSettings = 3;
 constexpr int kExitCutOff = 4;
 
+/// Checks a settings file that may have changed. Listeners and links keep what
+/// they were started with, so that no request is cut off.
+void
+CheckAgain(const std::string& aFile)
+{
+  try {
+    sapphirelane::LoadEntrySettings(aFile);
+    sapphirelane::LogLine("entry",
+                          "The settings were read again; what has changed in "
+                          "them takes effect at the next start.");
+  } catch (const sapphirelane::ConfigError& error) {
+    sapphirelane::LogLine(
+      "entry",
+      std::string("The settings on file are not sound: ") + error.what());
+  }
+}
+
 int
-Serve(const sapphirelane::EntrySettings& aSettings)
+Serve(const sapphirelane::EntrySettings& aSettings, const std::string& aFile)
 {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   auto app = sapphirelane::MakeEntryApp(aSettings);
   app->Start();
   int signal = 0;
   sigwait(&signals, &signal);
+  while (signal == SIGHUP) {
+    CheckAgain(aFile);
+    sigwait(&signals, &signal);
+  }
   return app->StopPlanned() ? kExitOk : kExitCutOff;
 }
 
@@ -76,7 +98,7 @@
   }
   sapphirelane::OpenLog(settings.log);
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  return Serve(settings);
+  return Serve(settings, values["settings"].as<std::string>());
 }
 
 } // namespace
--- a/src/sapphirelane/proxy/caller_front.cpp
+++ b/src/sapphirelane/proxy/caller_front.cpp
@@ -1,318 +1,209 @@
 #include "sapphirelane/proxy/caller_front.h"
 
-#include <arpa/inet.h>
-#include <microhttpd.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <atomic>
-#include <mutex>
+#include <future>
 #include <set>
+#include <thread>
 #include <utility>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include "sapphirelane/base/error.h"
-#include "sapphirelane/proxy/refusal.h"
+#include "sapphirelane/base/log.h"
+#include "sapphirelane/proxy/caller_session.h"
 
 namespace sapphirelane {
 
-namespace {
-
-constexpr std::size_t kMostHeadBytes = 32768;
-constexpr std::size_t kResponseBlock = 16384;
-
-/// Suspends and resumes one connection of the library.
-class ConnectionPort : public CallerPort
-{
-public:
-  explicit ConnectionPort(MHD_Connection* aConnection)
-    : m_connection(aConnection)
-    , m_socket(
-        MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD)
-          ->connect_fd)
-  {
-  }
-
-  void Suspend() override { MHD_suspend_connection(m_connection); }
-  void Resume() override { MHD_resume_connection(m_connection); }
+namespace asio = boost::asio;
+using asio::ip::tcp;
 
-  bool IsClosed() const override
-  {
-    char byte = 0;
-    const ssize_t got = recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool failed =
-      got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
-    return got == 0 || failed;
-  }
+namespace {
 
-private:
-  MHD_Connection* m_connection;
-  int m_socket;
-};
+/// How often sessions are checked for silence; limits are in seconds.
+constexpr Milliseconds kCheckPeriod{ 500 };
 
-/// What the library carries from callback to callback of one request.
-struct RequestContext
+SessionLimits
+LimitsOf(const LimitSettings& aSettings)
 {
-  std::string target;
-  ExchangePtr exchange;
-  std::uint64_t body_bytes = 0;
-  bool too_large = false;
-};
+  SessionLimits limits;
+  limits.body_bytes = aSettings.body_bytes;
+  limits.buffer_bytes = aSettings.buffer_bytes;
+  limits.idle = aSettings.idle;
+  return limits;
+}
 
-class MhdFront : public CallerFront
+class AsioFront : public CallerFront
 {
 public:
-  MhdFront(CallerFrontOptions aOptions,
-           std::function<bool(ExchangePtr)> aOnRequest)
-    : m_options(std::move(aOptions))
-    , m_onRequest(std::move(aOnRequest))
-    , m_nextRequest(m_options.first_request)
-  {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(m_options.port);
-    inet_pton(AF_INET, m_options.address.c_str(), &address.sin_addr);
-    const auto idle =
-      std::chrono::ceil<std::chrono::seconds>(m_options.limits.idle).count();
-    m_daemon = MHD_start_daemon(
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
-      m_options.port,
-      nullptr,
-      nullptr,
-      &MhdFront::OnAccess,
-      this,
-      MHD_OPTION_SOCK_ADDR,
-      &address,
-      MHD_OPTION_URI_LOG_CALLBACK,
-      &MhdFront::OnTarget,
-      this,
-      MHD_OPTION_NOTIFY_COMPLETED,
-      &MhdFront::OnCompleted,
-      this,
-      MHD_OPTION_CONNECTION_LIMIT,
-      static_cast<unsigned int>(m_options.limits.connections),
-      MHD_OPTION_CONNECTION_TIMEOUT,
-      static_cast<unsigned int>(idle),
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      kMostHeadBytes,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE,
-      1U,
-      MHD_OPTION_STRICT_FOR_CLIENT,
-      1,
-      MHD_OPTION_END);
-    if (m_daemon == nullptr) {
-      throw Error("callers: cannot listen on " + m_options.address + ":" +
-                  std::to_string(m_options.port));
-    }
-  }
-
-  ~MhdFront() override
+  AsioFront(const CallerFrontOptions& aOptions,
+            std::function<bool(ExchangePtr)> aOnRequest)
+    : m_options(aOptions)
+    , m_acceptor(m_io)
+    , m_checkTimer(m_io)
   {
-    StopListening();
-    EndAll();
-    MHD_stop_daemon(m_daemon);
+    m_context.limits = LimitsOf(aOptions.limits);
+    m_context.dialect = aOptions.dialect;
+    m_context.next_request = aOptions.first_request;
+    m_context.on_request = std::move(aOnRequest);
+    Listen();
+    Accept();
+    CheckLater();
+    m_thread = std::thread([this] { m_io.run(); });
   }
 
-  void StopListening() override
+  ~AsioFront() override
   {
-    if (!m_quiet) {
-      m_quiet = true;
-      const int socket = MHD_quiesce_daemon(m_daemon);
-      if (socket >= 0) {
-        close(socket);
+    asio::post(m_io, [this] {
+      StopAccepting();
+      m_checkTimer.cancel();
+      for (const auto& session : m_sessions) {
+        session->Abort();
       }
-    }
+      m_sessions.clear();
+      m_io.stop();
+    });
+    m_thread.join();
   }
 
-  std::size_t Open() const override { return m_open; }
-
-private:
-  static void* OnTarget(void* /*aSelf*/,
-                        const char* aTarget,
-                        MHD_Connection* /*aConnection*/)
+  void CloseAfterAnswers() override
   {
-    auto* context = new RequestContext;
-    context->target = aTarget;
-    return context;
+    asio::post(m_io, [this] { m_context.closing = true; });
   }
 
-  static MHD_Result OnAccess(void* aSelf,
-                             MHD_Connection* aConnection,
-                             const char* /*aUrl*/,
-                             const char* aMethod,
-                             const char* aVersion,
-                             const char* aUpload,
-                             std::size_t* aUploadSize,
-                             void** aContext)
+  void StopListening() override
   {
-    auto* self = static_cast<MhdFront*>(aSelf);
-    auto* context = static_cast<RequestContext*>(*aContext);
-    if (!context->exchange) {
-      return self->Begin(aConnection, aMethod, aVersion, *context);
-    }
-    if (*aUploadSize > 0) {
-      self->TakeBody(*context, aUpload, *aUploadSize);
-      return MHD_YES;
-    }
-    return self->GiveAnswer(aConnection, *context);
+    asio::post(m_io, [this] {
+      m_context.closing = true;
+      StopAccepting();
+      for (const auto& session : m_sessions) {
+        session->CloseIfIdle();
+      }
+    });
   }
 
-  static MHD_Result AddHeader(void* aHead,
-                              MHD_ValueKind /*aKind*/,
-                              const char* aName,
-                              const char* aValue)
+  void SetLimits(const CallerLimits& aLimits) override
   {
-    static_cast<RequestHead*>(aHead)->headers.emplace_back(
-      aName, aValue == nullptr ? "" : aValue);
-    return MHD_YES;
+    asio::post(m_io, [this, aLimits] {
+      SessionLimits limits = LimitsOf(m_options.limits);
+      if (aLimits.head_bytes > 0) {
+        limits.head_bytes = aLimits.head_bytes;
+      }
+      if (aLimits.body_bytes > 0) {
+        limits.body_bytes = aLimits.body_bytes;
+      }
+      if (aLimits.head_time > Milliseconds::zero()) {
+        limits.head_time = aLimits.head_time;
+      }
+      if (aLimits.idle > Milliseconds::zero()) {
+        limits.idle = aLimits.idle;
+      }
+      m_context.limits = limits;
+    });
   }
 
-  /// Answers what has no answer yet; the library refuses to stop while a
-  /// connection is suspended.
-  void EndAll()
+  std::size_t Open() const override
   {
-    std::lock_guard<std::mutex> lock(m_openMutex);
-    for (const ExchangePtr& exchange : m_openExchanges) {
-      Refuse(*exchange,
-             { 503, Outcome::Unknown, "stopping", "this host stops now" });
-      exchange->UpstreamBreak();
-    }
+    // The count belongs to the front's thread.
+    std::promise<std::size_t> open;
+    asio::post(m_io, [this, &open] { open.set_value(m_context.open); });
+    return open.get_future().get();
   }
 
-  MHD_Result Begin(MHD_Connection* aConnection,
-                   const char* aMethod,
-                   const char* aVersion,
-                   RequestContext& aContext)
+private:
+  void Listen()
   {
-    RequestHead head;
-    head.id = m_nextRequest++;
-    head.method = aMethod;
-    head.target = aContext.target;
-    head.arrived = Clock::now();
-    MHD_get_connection_values(
-      aConnection, MHD_HEADER_KIND, &MhdFront::AddHeader, &head);
-    aContext.exchange = std::make_shared<Exchange>(
-      std::move(head), m_options.limits.buffer_bytes);
-    aContext.exchange->SetPort(std::make_unique<ConnectionPort>(aConnection));
-    ++m_open;
-    {
-      std::lock_guard<std::mutex> lock(m_openMutex);
-      m_openExchanges.insert(aContext.exchange);
+    boost::system::error_code error;
+    const tcp::endpoint place(
+      asio::ip::make_address(m_options.address, error), m_options.port);
+    if (!error) {
+      m_acceptor.open(place.protocol(), error);
     }
-    if (std::string(aVersion) != "HTTP/1.1") {
-      Refuse(*aContext.exchange,
-             { 505, Outcome::NotRun, "version", "HTTP/1.1 is required" });
-      return MHD_YES;
+    if (!error) {
+      m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     }
-    if (!m_onRequest(aContext.exchange)) {
-      Refuse(*aContext.exchange,
-             { 503, Outcome::NotRun, "busy", "this host is full" });
+    if (!error) {
+      m_acceptor.bind(place, error);
+    }
+    if (!error) {
+      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      throw Error("callers: cannot listen on " + m_options.address + ":" +
+                  std::to_string(m_options.port) + ": " + error.message());
     }
-    return MHD_YES;
   }
 
-  void TakeBody(RequestContext& aContext,
-                const char* aBytes,
-                std::size_t& aSize) const
+  void Accept()
   {
-    const std::size_t size = aContext.exchange->CallerWrite(aBytes, aSize);
-    aContext.body_bytes += size;
-    aSize -= size;
-    if (aContext.body_bytes > m_options.limits.body_bytes &&
-        !aContext.too_large) {
-      aContext.too_large = true;
-      Refuse(*aContext.exchange,
-             { 413,
-               Outcome::Unknown,
-               "too-large",
-               "the body grew above the limit" });
-      aContext.exchange->CallerBreak();
-    }
+    m_accepting = true;
+    m_acceptor.async_accept(
+      [this](const boost::system::error_code& aError, tcp::socket aSocket) {
+        OnAccept(aError, std::move(aSocket));
+      });
   }
 
-  MHD_Result GiveAnswer(MHD_Connection* aConnection, RequestContext& aContext)
+  void OnAccept(const boost::system::error_code& aError, tcp::socket aSocket)
   {
-    if (!aContext.too_large) {
-      aContext.exchange->CallerFinish();
-    }
-    const auto head = aContext.exchange->CallerTakeHead();
-    if (!head) {
-      return MHD_YES;
+    if (aError == asio::error::operation_aborted || !m_acceptor.is_open()) {
+      return;
     }
-    auto* reader = new ExchangePtr(aContext.exchange);
-    MHD_Response* response = MHD_create_response_from_callback(
-      head->length ? *head->length : MHD_SIZE_UNKNOWN,
-      kResponseBlock,
-      &MhdFront::OnRead,
-      reader,
-      &MhdFront::FreeReader);
-    for (const Header& header : head->headers) {
-      MHD_add_response_header(
-        response, header.first.c_str(), header.second.c_str());
+    const bool full = m_sessions.size() >= m_options.limits.connections;
+    if (aError) {
+      // Descriptors may be short; the next check accepts again.
+      LogLine("callers", "A connection was not taken: " + aError.message());
+      m_accepting = false;
+      return;
     }
-    if (m_quiet) {
-      MHD_add_response_header(response, "Connection", "close");
+    if (!full) {
+      boost::system::error_code ignored;
+      aSocket.set_option(tcp::no_delay(true), ignored);
+      auto session =
+        std::make_shared<CallerSession>(std::move(aSocket), m_context);
+      m_sessions.insert(session);
+      session->Start(Clock::now());
     }
-    const MHD_Result queued = MHD_queue_response(
-      aConnection, static_cast<unsigned int>(head->status), response);
-    MHD_destroy_response(response);
-    return queued;
+    Accept();
   }
 
-  static ssize_t OnRead(void* aReader,
-                        std::uint64_t /*aPosition*/,
-                        char* aBytes,
-                        std::size_t aMost)
+  void StopAccepting()
   {
-    std::size_t read = 0;
-    auto& exchange = *static_cast<ExchangePtr*>(aReader);
-    switch (exchange->CallerRead(aBytes, aMost, read)) {
-      case StreamResult::Some:
-        return static_cast<ssize_t>(read);
-      case StreamResult::Wait:
-        return 0;
-      case StreamResult::End:
-        return MHD_CONTENT_READER_END_OF_STREAM;
-      case StreamResult::Broken:
-        break;
-    }
-    return MHD_CONTENT_READER_END_WITH_ERROR;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
   }
 
-  static void FreeReader(void* aReader)
+  void CheckLater()
   {
-    delete static_cast<ExchangePtr*>(aReader);
+    m_checkTimer.expires_after(kCheckPeriod);
+    m_checkTimer.async_wait([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        Check(Clock::now());
+        CheckLater();
+      }
+    });
   }
 
-  static void OnCompleted(void* aSelf,
-                          MHD_Connection* /*aConnection*/,
-                          void** aContext,
-                          MHD_RequestTerminationCode /*aCode*/)
+  void Check(TimePoint aNow)
   {
-    auto* self = static_cast<MhdFront*>(aSelf);
-    auto* context = static_cast<RequestContext*>(*aContext);
-    if (context == nullptr) {
-      return;
+    if (!m_accepting && m_acceptor.is_open()) {
+      Accept();
     }
-    if (context->exchange) {
-      context->exchange->CallerLeave();
-      {
-        std::lock_guard<std::mutex> lock(self->m_openMutex);
-        self->m_openExchanges.erase(context->exchange);
-      }
-      --self->m_open;
+    for (auto it = m_sessions.begin(); it != m_sessions.end();) {
+      (*it)->CheckTime(aNow);
+      it = (*it)->IsOpen() ? std::next(it) : m_sessions.erase(it);
     }
-    delete context;
-    *aContext = nullptr;
   }
 
   CallerFrontOptions m_options;
-  std::function<bool(ExchangePtr)> m_onRequest;
-  std::uint64_t m_nextRequest;
-  MHD_Daemon* m_daemon = nullptr;
-  std::atomic<bool> m_quiet{ false };
-  std::atomic<std::size_t> m_open{ 0 };
-  std::mutex m_openMutex;
-  std::set<ExchangePtr> m_openExchanges;
+  mutable asio::io_context m_io{ 1 };
+  tcp::acceptor m_acceptor;
+  asio::steady_timer m_checkTimer;
+  SessionContext m_context;
+  std::set<std::shared_ptr<CallerSession>> m_sessions;
+  bool m_accepting = false;
+  std::thread m_thread;
 };
 
 } // namespace
@@ -321,7 +212,7 @@
 MakeCallerFront(CallerFrontOptions aOptions,
                 std::function<bool(ExchangePtr)> aOnRequest)
 {
-  return std::make_unique<MhdFront>(std::move(aOptions), std::move(aOnRequest));
+  return std::make_unique<AsioFront>(aOptions, std::move(aOnRequest));
 }
 
 } // namespace sapphirelane
--- /dev/null
+++ b/src/sapphirelane/proxy/dialect.cpp
@@ -0,0 +1,43 @@
+#include "sapphirelane/proxy/dialect.h"
+
+#include <vector>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+namespace sapphirelane {
+
+namespace {
+
+constexpr const char* kOwnDialect = "sapphirelane";
+
+/// Most parts that a load report has.
+constexpr std::size_t kMostParts = 3;
+
+} // namespace
+
+HttpDialect
+DialectOf(const std::string& aName)
+{
+  return aName == kOwnDialect ? HttpDialect{}
+                              : DialectRegistry::Make(aName)->Get();
+}
+
+std::optional<LoadReport>
+ParseLoad(const std::string& aText, LoadFormat aFormat)
+{
+  const bool three = aFormat == LoadFormat::RunningWaitingSlots;
+  const std::vector<std::string> parts =
+    absl::StrSplit(aText, three ? ',' : '/');
+  if (parts.size() != (three ? kMostParts : 2)) {
+    return std::nullopt;
+  }
+  LoadReport report;
+  const bool valid = absl::SimpleAtoi(parts.front(), &report.running) &&
+                     absl::SimpleAtoi(parts.back(), &report.slots) &&
+                     (!three || absl::SimpleAtoi(parts[1], &report.waiting)) &&
+                     report.slots > 0;
+  return valid ? std::optional<LoadReport>(report) : std::nullopt;
+}
+
+} // namespace sapphirelane
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -27,8 +27,16 @@
 /// Longest time that an attempt's end may come after its deadline.
 constexpr Milliseconds kEndWithin{ 1000 };
 
+/// Time for an endpoint's own answer at the deadline to come in.
+constexpr Milliseconds kAnswerWithin{ 30 };
+
 constexpr int kServerError = 500;
-constexpr int kStatusShed = 503;
+/// Endpoints that a request is placed on at most, counting those that could
+/// not be reached.
+constexpr std::uint32_t kMostPlacings = 6;
+
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
 
 /// Extra attempts that hedging may add, as a share of requests.
 constexpr double kHedgeShare = 0.04;
@@ -63,11 +71,7 @@
     , m_retry(RetryRegistry::Make(m_options.policies.retry))
     , m_hedge(MakeRetryBudget(HedgeOptions()))
     , m_gate(m_options.limits, m_control)
-    , m_services(m_options.limits,
-                 m_options.policies,
-                 m_options.pool,
-                 m_control,
-                 m_metrics)
+    , m_services(m_options.limits, m_options.policies, m_control, m_metrics)
   {
   }
 
@@ -76,13 +80,16 @@
     const std::uint64_t id = aExchange->Head().id;
     PendingRequest request;
     request.exchange = std::move(aExchange);
-    request.head = CheckHead(request.exchange->Head());
+    request.head = CheckHead(request.exchange->Head(), m_options.dialect);
+    request.name = request.head.request_id.empty() ? std::to_string(id)
+                                                   : request.head.request_id;
     m_services.Load(aNow);
     auto refusal = m_gate.Admit(request, m_requests.size(), aNow);
     if (refusal) {
       RefuseUnheld(request, *refusal);
       return;
     }
+    request.service = ChooseService(request.route);
     const std::string service = request.service;
     PendingRequest& held = m_requests[id] = std::move(request);
     if (held.account.empty()) {
@@ -140,6 +147,27 @@
   }
 
 private:
+  /// Draws one of the services that share a route's requests.
+  std::string ChooseService(const Route& aRoute)
+  {
+    double total = 0;
+    for (const TrafficShare& share : aRoute.split) {
+      total += share.weight;
+    }
+    if (total <= 0) {
+      return aRoute.service;
+    }
+    std::uniform_real_distribution<double> draw(0, total);
+    double left = draw(m_random);
+    for (const TrafficShare& share : aRoute.split) {
+      left -= share.weight;
+      if (left < 0) {
+        return share.service;
+      }
+    }
+    return aRoute.split.back().service;
+  }
+
   // Fleet answers.
 
   void TakeControlEvents(TimePoint aNow)
@@ -235,6 +263,7 @@
     if (service != nullptr) {
       service->state->ObserveFleet(aEvidence, aNow);
       m_services.Judge(aEvidence.service, aNow);
+      Serve(aEvidence.service, aNow);
     }
   }
 
@@ -251,7 +280,7 @@
     if (aReply.state == ClaimState::Done && aReply.answer.kept) {
       ResponseHead head;
       head.status = aReply.answer.status;
-      head.headers = { { kRequestIdHeader, std::to_string(aId) },
+      head.headers = { { m_options.dialect.request_id, std::to_string(aId) },
                        { kRepeatHeader, "true" } };
       if (!aReply.answer.content_type.empty()) {
         head.headers.emplace_back("Content-Type", aReply.answer.content_type);
@@ -277,7 +306,28 @@
   void Enqueue(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
   {
     aRequest.stage = Stage::Queued;
-    ServiceEntry& service = m_services.At(aRequest.service);
+    ServiceEntry* found = m_services.Find(aRequest.service);
+    if (found == nullptr) {
+      RefuseHeld(aId,
+                 { 503,
+                   Outcome::NotRun,
+                   "no-service",
+                   "the route's service is not known" },
+                 aNow);
+      return;
+    }
+    ServiceEntry& service = *found;
+    const Duration wait = service.state->ExpectedWait(service.queue->Size());
+    if (wait > aRequest.deadline - aNow) {
+      RefuseHeld(aId,
+                 { 503,
+                   Outcome::NotRun,
+                   "overload",
+                   "no slot of the service will be free in time",
+                   RetryAfter(wait, aRequest, aNow) },
+                 aNow);
+      return;
+    }
     const std::string line =
       aRequest.account.empty() ? "(open)" : aRequest.account;
     if (!service.queue->Push({ aId, line, aRequest.deadline })) {
@@ -290,6 +340,18 @@
     }
   }
 
+  /// When a refused caller may come back: when the service has worked off what
+  /// waits, but within the time that the caller has left.
+  static Milliseconds RetryAfter(Duration aWait,
+                                 const PendingRequest& aRequest,
+                                 TimePoint aNow)
+  {
+    constexpr Milliseconds kLeast{ 50 };
+    constexpr int kThird = 3;
+    const Duration most = (aRequest.deadline - aNow) / kThird;
+    return std::max(kLeast, ToMilliseconds(std::min(aWait, most)));
+  }
+
   /// Serves the queue of a service while it has slots.
   void Serve(const std::string& aService, TimePoint aNow)
   {
@@ -414,9 +476,13 @@
   {
     ServiceEntry& service = m_services.At(aRequest.service);
     const bool safe = IsSafe(aRequest);
-    const bool mayTry = safe || !service.has_safe_route;
-    const auto placed =
-      service.state->Place(mayTry, aRequest.tried, aNow, m_random);
+    PlaceRequest place;
+    place.may_try = safe || !service.has_safe_route;
+    place.repeatable = safe;
+    place.body_bytes = aRequest.head.length.value_or(0);
+    place.target = aRequest.route.target;
+    place.avoid = aRequest.tried;
+    const auto placed = service.state->Place(place, aNow, m_random);
     if (!placed) {
       return false;
     }
@@ -429,12 +495,18 @@
     aRequest.attempts.push_back(attempt);
     aRequest.tried.push_back(placed->endpoint);
     ++aRequest.attempts_made;
+    ++aRequest.attempts_sent;
     aRequest.stage = Stage::Sending;
     m_attempts[attempt.id] = aId;
-    if (aRequest.attempts_made == 1) {
+    const bool first = aRequest.attempts_made == 1;
+    if (first) {
       m_retry->OnRequest(aNow);
       m_hedge->OnRequest(aNow);
     }
+    WorkReport report;
+    report.begins = first;
+    report.extra = !first;
+    ShareWork(aRequest, attempt.endpoint, report, aNow);
     Log(aId,
         "route",
         "goes to " + placed->endpoint + " as attempt " +
@@ -453,16 +525,30 @@
     AttemptOrder order;
     order.id = aAttempt.id;
     order.exchange = aRequest.exchange;
+    order.endpoint = aAttempt.endpoint;
     order.address = aAddress;
     order.method = head.method;
     order.target = head.target;
     order.headers = aRequest.head.forward;
-    order.headers.emplace_back(kRequestIdHeader, std::to_string(head.id));
-    const auto left = ToMilliseconds(aRequest.deadline - aNow).count();
-    order.headers.emplace_back(kDeadlineHeader, std::to_string(left));
+    const HttpDialect& dialect = m_options.dialect;
+    const std::string* host = FindHeader(head.headers, "Host");
+    if (dialect.forward_host && host != nullptr) {
+      order.headers.emplace_back("Host", *host);
+    }
+    if (!dialect.caller_names_requests) {
+      order.headers.emplace_back(dialect.request_id, std::to_string(head.id));
+    } else {
+      order.echo_header = dialect.request_id;
+      order.echo = aRequest.head.request_id;
+    }
+    if (!dialect.expected_endpoint.empty()) {
+      order.headers.emplace_back(dialect.expected_endpoint, aAttempt.endpoint);
+    }
     if (!aRequest.account.empty()) {
-      order.headers.emplace_back(kAccountHeader, aRequest.account);
+      order.headers.emplace_back(dialect.account, aRequest.account);
     }
+    order.deadline_header = dialect.deadline;
+    order.hold = IsSafe(aRequest);
     order.has_body = aRequest.head.has_body;
     order.length = aRequest.head.length;
     // A request that may not be sent twice takes no connection that might
@@ -476,14 +562,16 @@
       order.send_before = std::min(order.send_before, aRequest.token_until);
     }
     order.deadline = aRequest.deadline;
+    order.give_up = aRequest.deadline + kAnswerWithin;
     return order;
   }
 
   static bool IsSafe(const PendingRequest& aRequest)
   {
     const std::string& method = aRequest.exchange->Head().method;
-    return aRequest.route.mode == RouteMode::Safe && !aRequest.head.has_body &&
-           (method == "GET" || method == "HEAD");
+    const bool reads = method == "GET" || method == "HEAD";
+    return aRequest.route.mode == RouteMode::Safe &&
+           (reads ? !aRequest.head.has_body : aRequest.head.length.has_value());
   }
 
   static Attempt* FindAttempt(PendingRequest& aRequest, std::uint64_t aId)
@@ -507,21 +595,22 @@
     }
     attempt->headed = true;
     ServiceState& state = *m_services.At(aRequest.service).state;
-    const std::string* load = FindHeader(aEvent.head.headers, kLoadHeader);
+    const HttpDialect& dialect = m_options.dialect;
+    const std::string* load = FindHeader(aEvent.head.headers, dialect.load);
     if (load != nullptr) {
-      const auto share = ParseLoad(*load);
-      if (share) {
-        state.Report(attempt->endpoint, *share, aNow);
+      const auto report = ParseLoad(*load, dialect.load_format);
+      if (report) {
+        state.Report(attempt->endpoint, report->Share(), aNow);
       }
     }
-    const std::string* shed = FindHeader(aEvent.head.headers, kShedHeader);
-    if (aEvent.head.status == kStatusShed && shed != nullptr &&
-        *shed == "not-run") {
-      OnShed(aId, aRequest, *attempt);
+    if (SaysNotRun(aEvent.head, dialect)) {
+      OnShed(aId, aRequest, *attempt, aNow);
       return;
     }
-    const bool failed = aEvent.head.status >= kServerError;
+    const bool unproven = IsUnproven(aEvent.head);
+    const bool failed = aEvent.head.status >= kServerError || unproven;
     const Duration elapsed = aNow - attempt->started;
+    attempt->failed = failed;
     if (!attempt->stalled) {
       state.Observe(
         attempt->endpoint,
@@ -535,9 +624,36 @@
       m_upstreams.Cancel(aEvent.id);
       return;
     }
+    if (unproven) {
+      // The answer is not the endpoint's; what it holds cannot be trusted.
+      m_upstreams.Cancel(aEvent.id);
+      RefuseHeld(aId,
+                 { 502,
+                   Outcome::Unknown,
+                   "no-receipt",
+                   "the upstream's answer is not a proper one" },
+                 aNow);
+      return;
+    }
     PassOn(aId, aRequest, aEvent, aNow);
   }
 
+  /// A success without a receipt, or a status that promises that the request
+  /// has not run where the endpoint does not say so.
+  bool IsUnproven(const ResponseHead& aHead) const
+  {
+    const std::string& receipt = m_options.dialect.receipt;
+    if (receipt.empty()) {
+      return false;
+    }
+    const bool success =
+      aHead.status < kFirstRedirect && aHead.status >= kFirstSuccess;
+    const bool promises = aHead.status == 408 || aHead.status == 421 ||
+                          aHead.status == 429 || aHead.status == 503;
+    return promises ||
+           (success && FindHeader(aHead.headers, receipt) == nullptr);
+  }
+
   /// Passes an answer's head on and breaks the other attempts off.
   void PassOn(std::uint64_t aId,
               PendingRequest& aRequest,
@@ -549,8 +665,11 @@
     const std::string* type = FindHeader(aEvent.head.headers, "content-type");
     aRequest.answer_type = type == nullptr ? "" : *type;
     ResponseHead head = aEvent.head;
-    head.headers = AnswerHeaders(head.headers);
-    head.headers.emplace_back(kRequestIdHeader, std::to_string(aId));
+    head.headers = AnswerHeaders(head.headers, m_options.dialect);
+    if (!m_options.dialect.caller_names_requests) {
+      head.headers.emplace_back(m_options.dialect.request_id,
+                                std::to_string(aId));
+    }
     for (const Attempt& attempt : aRequest.attempts) {
       if (attempt.id != aEvent.id) {
         m_upstreams.Cancel(attempt.id);
@@ -566,9 +685,14 @@
   /// The upstream says that it did not run the request.
   void OnShed(std::uint64_t aId,
               const PendingRequest& aRequest,
-              Attempt& aAttempt)
+              Attempt& aAttempt,
+              TimePoint aNow)
   {
     aAttempt.shed = true;
+    ServiceState& state = *m_services.At(aRequest.service).state;
+    state.Observe(aAttempt.endpoint,
+                  { WorkResult::Shed, aNow - aAttempt.started },
+                  aNow);
     Log(aId, "route", "was shed by " + aAttempt.endpoint);
     m_metrics.Count("sheds_total", { { "service", aRequest.service } });
     // The attempt must have ended before its body is read once more.
@@ -581,11 +705,14 @@
     if (RetryInstead(aId, aRequest, aNow)) {
       return;
     }
+    const ServiceEntry& service = m_services.At(aRequest.service);
+    const Duration wait = service.state->ExpectedWait(service.queue->Size());
     RefuseHeld(aId,
-               { 503,
+               { aRequest.left ? 502 : 503,
                  aRequest.left ? Outcome::Unknown : Outcome::NotRun,
                  "shed",
-                 "the upstream is overloaded and did not run it" },
+                 "the upstream is overloaded and did not run it",
+                 RetryAfter(wait, aRequest, aNow) },
                aNow);
   }
 
@@ -593,7 +720,9 @@
   bool RetryInstead(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
   {
     const bool allowed =
-      m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow);
+      MayAttemptMore(aRequest) &&
+      m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow) &&
+      m_control.TakeExtra(aRequest.service, aNow);
     if (!allowed || !TryAttempt(aId, aRequest, aNow)) {
       return false;
     }
@@ -601,6 +730,13 @@
     return true;
   }
 
+  /// The route's own bound on endpoints that one request is sent to.
+  static bool MayAttemptMore(const PendingRequest& aRequest)
+  {
+    return aRequest.route.attempts == 0 ||
+           aRequest.attempts_sent < aRequest.route.attempts;
+  }
+
   void OnEnd(std::uint64_t aId,
              PendingRequest& aRequest,
              const AttemptEvent& aEvent,
@@ -617,7 +753,12 @@
     ServiceState& state = *m_services.At(aRequest.service).state;
     state.End(attempt.endpoint);
     const bool cancelled = aEvent.error == "cancelled";
-    aRequest.left = aRequest.left || (aEvent.sent && !cancelled);
+    ReportEnd(aRequest, attempt, aEvent, aNow);
+    if (!aEvent.sent) {
+      --aRequest.attempts_sent; // Nothing of it has left.
+    }
+    const bool mayHaveRun = aEvent.sent && !attempt.shed;
+    aRequest.left = aRequest.left || (mayHaveRun && !cancelled);
     if (aRequest.stage == Stage::Answering) {
       if (!cancelled && attempt.headed) {
         EndAnswer(aId, aRequest, aEvent, aNow);
@@ -631,7 +772,7 @@
       AfterShed(aId, aRequest, aNow);
       return;
     }
-    if (!aEvent.caller_fault && !cancelled) {
+    if (!aEvent.caller_fault && !cancelled && !aEvent.stale) {
       state.Observe(
         attempt.endpoint, { WorkResult::Failed, aNow - attempt.started }, aNow);
     }
@@ -645,6 +786,11 @@
                  TimePoint aNow)
   {
     Log(aId, "route", "failed: " + aEvent.error);
+    if (!aEvent.sent && !aEvent.caller_fault &&
+        aRequest.attempts_made < kMostPlacings && aNow < aRequest.deadline &&
+        TryAttempt(aId, aRequest, aNow)) {
+      return; // Nothing was sent, so it counts against no budget.
+    }
     const bool repeatable = IsSafe(aRequest) || !aRequest.left;
     if (!aEvent.caller_fault && repeatable &&
         RetryInstead(aId, aRequest, aNow)) {
@@ -774,6 +920,9 @@
           waited >= state.StallAfter(aNow)) {
         attempt.stalled = true;
         state.Observe(attempt.endpoint, { WorkResult::Stalled, waited }, aNow);
+        WorkReport report;
+        report.bad = 1;
+        ShareWork(aRequest, attempt.endpoint, report, aNow);
       }
     }
     const bool trial =
@@ -782,12 +931,13 @@
       return;
     }
     const bool lost = IsLost(aRequest, state);
-    const bool allowed =
+    const bool worthwhile =
       trial || lost ||
       m_hedge->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow) ||
       (IsStalled(aRequest) &&
        m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow));
-    if (!allowed) {
+    if (!worthwhile || !MayAttemptMore(aRequest) ||
+        !m_control.TakeExtra(aRequest.service, aNow)) {
       return;
     }
     aRequest.hedged = true;
@@ -822,10 +972,47 @@
     Log(aId, "route", "was abandoned by its caller");
     // The connection is woken, finds its caller gone and ends.
     Refuse(*aRequest.exchange,
-           { 499, Outcome::Unknown, "caller-left", "the caller has gone" });
+           { 499, Outcome::Unknown, "caller-left", "the caller has gone" },
+           m_options.dialect);
     Finish(aId, aNow);
   }
 
+  // Reports to the fleet.
+
+  void ShareWork(const PendingRequest& aRequest,
+                 const std::string& aEndpoint,
+                 WorkReport aReport,
+                 TimePoint aNow)
+  {
+    ServiceEntry* service = m_services.Find(aRequest.service);
+    if (service == nullptr) {
+      return;
+    }
+    aReport.service = aRequest.service;
+    aReport.endpoint = aEndpoint;
+    aReport.in_flight = service->state->InFlight(aEndpoint);
+    m_control.ShareWork(aReport, aNow);
+  }
+
+  void ReportEnd(const PendingRequest& aRequest,
+                 const Attempt& aAttempt,
+                 const AttemptEvent& aEvent,
+                 TimePoint aNow)
+  {
+    WorkReport report;
+    const bool broke = !aEvent.whole && aEvent.error != "cancelled" &&
+                       !aEvent.caller_fault && !aEvent.stale;
+    if (aAttempt.shed) {
+      report.shed = 1;
+    } else if (aAttempt.failed || broke || aAttempt.stalled) {
+      report.bad = aAttempt.stalled ? 0 : 1; // A stall was told before.
+    } else if (aEvent.whole) {
+      report.answered = 1;
+      report.answer_time = aNow - aAttempt.started;
+    }
+    ShareWork(aRequest, aAttempt.endpoint, report, aNow);
+  }
+
   // Ends.
 
   std::unordered_map<std::uint64_t, PendingRequest>::iterator TakeAsk(
@@ -842,7 +1029,7 @@
 
   void RefuseUnheld(PendingRequest& aRequest, const Refusal& aRefusal)
   {
-    Refuse(*aRequest.exchange, aRefusal);
+    Refuse(*aRequest.exchange, aRefusal, m_options.dialect);
     NoteRefusal(aRequest, aRefusal);
   }
 
@@ -857,7 +1044,7 @@
       }
       request.claimed = false;
     }
-    Refuse(*request.exchange, aRefusal);
+    Refuse(*request.exchange, aRefusal, m_options.dialect);
     NoteRefusal(request, aRefusal);
     Finish(aId, aNow);
   }
@@ -884,6 +1071,9 @@
       m_upstreams.Cancel(attempt.id);
       service->state->End(attempt.endpoint);
       m_attempts.erase(attempt.id);
+      WorkReport report;
+      report.bad = attempt.failed ? 1 : 0;
+      ShareWork(request, attempt.endpoint, report, aNow);
     }
     Unreserve(request);
     const bool unused = request.attempts_made == 0 && request.token != 0;
@@ -903,6 +1093,7 @@
     std::string subject = "Request " + std::to_string(aId);
     if (held != m_requests.end()) {
       const PendingRequest& request = held->second;
+      subject = "Request " + request.name;
       subject += " of " +
                  (request.account.empty() ? std::string("anybody")
                                           : Quoted(request.account)) +
--- a/src/sapphirelane/proxy/entry_app.cpp
+++ b/src/sapphirelane/proxy/entry_app.cpp
@@ -1,58 +1,51 @@
 #include "sapphirelane/proxy/entry_app.h"
 
-#include <fstream>
 #include <optional>
-#include <sstream>
 #include <thread>
 
-#include <nlohmann/json.hpp>
-
 #include "sapphirelane/base/error.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/base/secret.h"
 #include "sapphirelane/proxy/caller_front.h"
 #include "sapphirelane/proxy/dispatch_duty.h"
-#include "sapphirelane/proxy/node_runtime.h"
+#include "sapphirelane/proxy/fleet_runtime.h"
 #include "sapphirelane/proxy/operator_api.h"
 
 namespace sapphirelane {
 
 namespace {
 
-std::string
-ReadFile(const std::string& aPath)
-{
-  std::ifstream stream(aPath);
-  if (!stream) {
-    throw ConfigError(aPath + ": cannot be read");
-  }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
-}
+/// Between two updates of the gauges.
+constexpr Milliseconds kGaugePeriod{ 1000 };
 
 class EntryDaemon : public EntryApp
 {
 public:
   explicit EntryDaemon(const EntrySettings& aSettings)
     : m_settings(aSettings)
+    , m_dialect(DialectOf(m_settings.policies.dialect))
     , m_metrics(MakeMetrics())
   {
     auto dispatch = std::make_unique<DispatchDuty>(m_settings.limits.in_flight);
     m_dispatch = dispatch.get();
     m_kernel.Add(std::move(dispatch));
-    MakeControl();
+    MakeFleet();
+    m_fleet->AddDuties(m_kernel);
+    UpstreamIoOptions io;
+    io.connect_timeout = m_settings.limits.connect_timeout;
     auto upstreams = MakeUpstreamIo(
-      {}, [this](AttemptEvent aEvent) { m_dispatch->Push(std::move(aEvent)); });
+      io, [this](AttemptEvent aEvent) { m_dispatch->Push(std::move(aEvent)); });
     DispatcherOptions options;
     options.limits = m_settings.limits;
     options.policies = m_settings.policies;
+    options.dialect = m_dialect;
     options.seed = RandomBits();
-    m_dispatcher = MakeDispatcher(options, *m_control, *upstreams, *m_metrics);
+    m_dispatcher =
+      MakeDispatcher(options, m_fleet->Control(), *upstreams, *m_metrics);
     m_kernel.Add(std::move(upstreams));
     m_dispatch->Attach(*m_dispatcher, [this](TimePoint aNow) { Tick(aNow); });
     m_api = std::make_unique<OperatorApi>(
-      *m_dispatch, *m_dispatcher, *m_control, *m_node, *m_metrics);
+      *m_dispatch, *m_dispatcher, *m_fleet, *m_metrics);
   }
 
   ~EntryDaemon() override
@@ -64,8 +57,9 @@
 
   void Start() override
   {
+    StartCallers();
     m_kernel.Start();
-    m_node->Announce(false);
+    m_fleet->Announce(false);
     OperatorFrontOptions operators;
     operators.address = m_settings.listen.operator_address;
     operators.port = m_settings.listen.operators;
@@ -74,27 +68,20 @@
       MakeOperatorFront(operators, [this](const OperatorCall& aCall) {
         return m_api->Handle(aCall);
       });
-    CallerFrontOptions callers;
-    callers.address = m_settings.listen.address;
-    callers.port = m_settings.listen.callers;
-    callers.limits = m_settings.limits;
-    // Numbers of different daemons and runs do not meet.
-    callers.first_request = RandomBits() >> kRequestIdShift;
-    m_callers = MakeCallerFront(callers, [this](ExchangePtr aExchange) {
-      return m_dispatch->Push(std::move(aExchange));
-    });
     LogLine("entry", "Host " + m_settings.host + " is serving.");
   }
 
   bool StopPlanned() override
   {
     LogLine("entry", "Host " + m_settings.host + " is being stopped.");
+    const TimePoint last = Clock::now() + m_settings.drain;
     m_api->SetStopping();
-    m_node->Announce(true);
+    m_callers->CloseAfterAnswers();
+    m_fleet->Announce(true);
     // The balancer sees the host as not ready before it stops listening.
-    std::this_thread::sleep_for(kBalancerNotice);
+    std::this_thread::sleep_for(m_settings.balancer_notice);
     m_callers->StopListening();
-    const bool finished = AwaitRequests();
+    const bool finished = AwaitRequests(last);
     HandOver();
     m_callers.reset();
     m_operators.reset();
@@ -106,61 +93,54 @@
   }
 
 private:
-  static constexpr Milliseconds kBalancerNotice{ 500 };
   static constexpr Milliseconds kPoll{ 20 };
   static constexpr int kRequestIdShift = 16;
 
-  void MakeControl()
+  void MakeFleet()
   {
-    if (!m_settings.static_fleet.empty()) {
-      m_fixedFleet = DecodeFleet(ReadFile(m_settings.static_fleet));
+    const std::string& name = m_settings.platform.source;
+    if (name.empty()) {
+      m_fleet = MakeNodeRuntime(m_settings, *m_dispatch, *m_metrics);
+      return;
     }
-    m_node = std::make_unique<NodeRuntime>(m_settings, *m_dispatch, *m_metrics);
-    m_node->AddDuties(m_kernel);
-    m_control = &m_node->Get();
+    auto source = SourceRegistry::Make(name, m_settings.platform);
+    source->Adjust(m_settings);
+    m_fleet = MakeStoreFleetRuntime(
+      m_settings, std::move(source), *m_dispatch, *m_metrics);
   }
 
-  void Tick(TimePoint aNow)
+  void StartCallers()
   {
-    m_node->Get().Tick(aNow);
-    ProposeFixedFleet(aNow);
-    if (aNow < m_nextGauges) {
-      return;
-    }
-    m_nextGauges = aNow + std::chrono::seconds(1);
-    const NodeStatus status = m_node->Get().Status(aNow);
-    m_metrics->Set("fresh", {}, status.fresh ? 1 : 0);
-    m_metrics->Set("head", {}, static_cast<double>(status.seq));
-    m_metrics->Set("members", {}, static_cast<double>(status.members));
-    m_metrics->Set("shards_held", {}, static_cast<double>(status.shards_held));
-    m_metrics->Set("claims", {}, static_cast<double>(status.claims));
-    m_metrics->Set("platform_answers", {}, status.store_answers ? 1 : 0);
+    CallerFrontOptions callers;
+    callers.address = m_settings.listen.address;
+    callers.port = m_settings.listen.callers;
+    callers.limits = m_settings.limits;
+    callers.dialect = m_dialect;
+    // Numbers of different daemons and runs do not meet.
+    callers.first_request = RandomBits() >> kRequestIdShift;
+    m_callers = MakeCallerFront(callers, [this](ExchangePtr aExchange) {
+      return m_dispatch->Push(std::move(aExchange));
+    });
   }
 
-  /// Has the configuration of a daemon that runs alone accepted.
-  void ProposeFixedFleet(TimePoint aNow)
+  void Tick(TimePoint aNow)
   {
-    const FleetConfig* config = m_control->Config();
-    if (!m_fixedFleet || config == nullptr) {
-      return;
+    m_fleet->Tick(aNow);
+    const FleetConfig* config = m_fleet->Control().Config();
+    if (config != nullptr && config->version != m_limitsVersion) {
+      m_limitsVersion = config->version;
+      m_callers->SetLimits(config->limits);
+    }
+    if (aNow >= m_nextGauges) {
+      m_nextGauges = aNow + kGaugePeriod;
+      m_fleet->Measure(*m_metrics, aNow);
     }
-    ChangeSet change;
-    change.id = "static-fleet";
-    change.author = m_settings.static_fleet;
-    change.rows = Difference(*config, *m_fixedFleet);
-    m_fixedFleet.reset();
-    m_node->Get().Propose(change, aNow, [](const WriteResult& aResult, auto) {
-      if (!aResult.detail.empty()) {
-        LogLine("entry", "The fixed fleet is not usable: " + aResult.detail);
-      }
-    });
   }
 
-  bool AwaitRequests()
+  bool AwaitRequests(TimePoint aLast)
   {
-    const TimePoint last = Clock::now() + m_settings.drain;
     while (m_callers->Open() > 0) {
-      if (Clock::now() >= last) {
+      if (Clock::now() >= aLast) {
         return false;
       }
       std::this_thread::sleep_for(kPoll);
@@ -172,11 +152,11 @@
   void HandOver()
   {
     m_dispatch->Call<bool>([this](TimePoint aNow) {
-      m_node->Get().BeginStop(aNow);
+      m_fleet->BeginStop(aNow);
       return true;
     });
     const auto stopped = [this](TimePoint aNow) {
-      return m_node->Get().IsStopped(aNow);
+      return m_fleet->IsStopped(aNow);
     };
     while (!m_dispatch->Call<bool>(stopped)) {
       std::this_thread::sleep_for(kPoll);
@@ -184,16 +164,16 @@
   }
 
   EntrySettings m_settings;
+  HttpDialect m_dialect;
   std::unique_ptr<Metrics> m_metrics;
   DispatchDuty* m_dispatch = nullptr;
-  std::optional<FleetConfig> m_fixedFleet; ///< To be proposed at the start.
-  std::unique_ptr<NodeRuntime> m_node;
-  FleetControl* m_control = nullptr;
+  std::unique_ptr<FleetRuntime> m_fleet;
   std::unique_ptr<Dispatcher> m_dispatcher;
   Kernel m_kernel;
   std::unique_ptr<OperatorApi> m_api;
   std::unique_ptr<OperatorFront> m_operators;
   std::unique_ptr<CallerFront> m_callers;
+  std::uint64_t m_limitsVersion = 0;
   TimePoint m_nextGauges{};
 };
 
--- a/src/sapphirelane/proxy/http.cpp
+++ b/src/sapphirelane/proxy/http.cpp
@@ -24,16 +24,27 @@
   "trailer",          "transfer-encoding",   "upgrade"
 };
 
-/// Headers that the daemon sets itself or consumes.
-const std::set<std::string> kConsumed = { "authorization",
-                                          "x-api-key",
-                                          "host",
-                                          "content-length",
-                                          "expect",
-                                          "x-sapphirelane-account",
-                                          "x-sapphirelane-request",
-                                          "x-sapphirelane-deadline-ms",
-                                          "x-sapphirelane-outcome" };
+/// Headers that the daemon sets itself or consumes, in lower case.
+std::set<std::string>
+ConsumedHeaders(const HttpDialect& aDialect)
+{
+  std::set<std::string> names = { "host", "content-length", "expect" };
+  for (const std::string& name : { aDialect.account,
+                                   aDialect.deadline,
+                                   aDialect.outcome,
+                                   aDialect.expected_endpoint,
+                                   aDialect.key }) {
+    names.insert(absl::AsciiStrToLower(name));
+  }
+  if (!aDialect.caller_names_requests) {
+    names.insert(absl::AsciiStrToLower(aDialect.request_id));
+  }
+  if (aDialect.key.empty()) {
+    names.insert("authorization");
+    names.insert("x-api-key");
+  }
+  return names;
+}
 
 std::set<std::string>
 NamedByConnection(const Headers& aHeaders)
@@ -80,8 +91,9 @@
 class HeadChecker
 {
 public:
-  explicit HeadChecker(const RequestHead& aRequest)
+  HeadChecker(const RequestHead& aRequest, const HttpDialect& aDialect)
     : m_request(aRequest)
+    , m_dialect(aDialect)
   {
   }
 
@@ -89,11 +101,14 @@
   {
     m_checked.path = m_request.target.substr(0, m_request.target.find('?'));
     CheckFraming();
+    TakeHost();
+    TakeRequestId();
     TakeKey();
     TakeDeadline();
     TakeIdempotencyKey();
+    const std::set<std::string> consumed = ConsumedHeaders(m_dialect);
     for (const Header& header : WithoutHopByHop(m_request.headers)) {
-      if (kConsumed.count(absl::AsciiStrToLower(header.first)) == 0) {
+      if (consumed.count(absl::AsciiStrToLower(header.first)) == 0) {
         m_checked.forward.push_back(header);
       }
     }
@@ -144,8 +159,37 @@
     }
   }
 
-  void TakeKey()
+  void TakeHost()
+  {
+    const auto hosts = ValuesOf(m_request.headers, "host");
+    if (hosts.size() > 1) {
+      Refuse("Host is given more than once");
+    }
+    if (!hosts.empty()) {
+      const std::string& host = hosts.front();
+      m_checked.host = absl::AsciiStrToLower(host.substr(0, host.find(':')));
+    }
+  }
+
+  void TakeRequestId()
+  {
+    if (!m_dialect.caller_names_requests) {
+      return;
+    }
+    const auto ids = ValuesOf(m_request.headers, m_dialect.request_id);
+    if (ids.size() > 1) {
+      Refuse(m_dialect.request_id + " is given more than once");
+    }
+    if (!ids.empty()) {
+      m_checked.request_id = ids.front();
+    }
+  }
+
+  std::vector<std::string> PresentedKeys()
   {
+    if (!m_dialect.key.empty()) {
+      return ValuesOf(m_request.headers, m_dialect.key);
+    }
     std::vector<std::string> keys = ValuesOf(m_request.headers, "x-api-key");
     for (const std::string& value :
          ValuesOf(m_request.headers, "authorization")) {
@@ -156,6 +200,12 @@
       }
       keys.push_back(value.substr(kScheme.size()));
     }
+    return keys;
+  }
+
+  void TakeKey()
+  {
+    const std::vector<std::string> keys = PresentedKeys();
     if (keys.size() > 1) {
       Refuse("more than one key is given");
     }
@@ -167,7 +217,7 @@
 
   void TakeDeadline()
   {
-    const auto values = ValuesOf(m_request.headers, kDeadlineHeader);
+    const auto values = ValuesOf(m_request.headers, m_dialect.deadline);
     if (values.empty()) {
       return;
     }
@@ -176,7 +226,7 @@
                        absl::SimpleAtoi(values[0], &number) && number > 0 &&
                        number <= kMostDeadlineMs;
     if (!valid) {
-      Refuse(std::string(kDeadlineHeader) +
+      Refuse(m_dialect.deadline +
              " is not a whole number from 1 to 600000");
       return;
     }
@@ -185,7 +235,10 @@
 
   void TakeIdempotencyKey()
   {
-    const auto values = ValuesOf(m_request.headers, kIdempotencyHeader);
+    if (m_dialect.idempotency.empty()) {
+      return;
+    }
+    const auto values = ValuesOf(m_request.headers, m_dialect.idempotency);
     if (values.empty()) {
       return;
     }
@@ -196,7 +249,7 @@
       });
     if (values.size() > 1 || key.empty() || key.size() > kMostIdempotencyKey ||
         !printable) {
-      Refuse(std::string(kIdempotencyHeader) +
+      Refuse(m_dialect.idempotency +
              " is not one word of 1 to 128 printable characters");
       return;
     }
@@ -221,6 +274,7 @@
   }
 
   const RequestHead& m_request;
+  const HttpDialect& m_dialect;
   CheckedHead m_checked;
   std::string m_key;
 };
@@ -239,36 +293,40 @@
 }
 
 CheckedHead
-CheckHead(const RequestHead& aRequest)
+CheckHead(const RequestHead& aRequest, const HttpDialect& aDialect)
 {
-  return HeadChecker(aRequest).Check();
+  return HeadChecker(aRequest, aDialect).Check();
 }
 
 Headers
-AnswerHeaders(const Headers& aHeaders)
+AnswerHeaders(const Headers& aHeaders, const HttpDialect& aDialect)
 {
   Headers kept;
   for (const Header& header : WithoutHopByHop(aHeaders)) {
-    const std::string name = absl::AsciiStrToLower(header.first);
-    if (name != "content-length" && name != "x-sapphirelane-outcome") {
+    const bool dropped =
+      absl::EqualsIgnoreCase(header.first, "content-length") ||
+      absl::EqualsIgnoreCase(header.first, aDialect.outcome) ||
+      absl::EqualsIgnoreCase(header.first, aDialect.load);
+    if (!dropped) {
       kept.push_back(header);
     }
   }
   return kept;
 }
 
-std::optional<double>
-ParseLoad(const std::string& aText)
+bool
+SaysNotRun(const ResponseHead& aHead, const HttpDialect& aDialect)
 {
-  const std::vector<std::string> parts = absl::StrSplit(aText, '/');
-  std::uint32_t used = 0;
-  std::uint32_t slots = 0;
-  const bool valid = parts.size() == 2 && absl::SimpleAtoi(parts[0], &used) &&
-                     absl::SimpleAtoi(parts[1], &slots) && slots > 0;
-  if (!valid) {
-    return std::nullopt;
+  const bool other = aDialect.other_endpoint_status != 0 &&
+                     aHead.status == aDialect.other_endpoint_status;
+  if (other) {
+    return true;
   }
-  return static_cast<double>(used) / slots;
+  const bool status = aDialect.not_run_status == 0 ||
+                      aHead.status == aDialect.not_run_status;
+  const std::string* value = FindHeader(aHead.headers, aDialect.not_run);
+  return status && value != nullptr &&
+         (aDialect.not_run_value.empty() || *value == aDialect.not_run_value);
 }
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/http_test.cpp
+++ b/src/sapphirelane/proxy/http_test.cpp
@@ -21,7 +21,7 @@
     head.method = aMethod;
     head.target = aTarget;
     head.headers = aHeaders;
-    return CheckHead(head);
+    return CheckHead(head, {});
   }
 };
 
@@ -96,30 +96,30 @@
 
 TEST_CASE_METHOD(HeadFixture, "CheckHead, forged account header, removes it")
 {
-  CHECK(Check({ { kAccountHeader, "other" } }).forward.empty());
+  CHECK(Check({ { HttpDialect{}.account, "other" } }).forward.empty());
 }
 
 TEST_CASE_METHOD(HeadFixture, "CheckHead, malformed deadline, refuses")
 {
-  CHECK(Check({ { kDeadlineHeader, "250" } }).deadline == Milliseconds(250));
+  CHECK(Check({ { HttpDialect{}.deadline, "250" } }).deadline == Milliseconds(250));
   for (const char* text : { "0", "-1", "x", "600001", "" }) {
-    CHECK_FALSE(Check({ { kDeadlineHeader, text } }).fault.empty());
+    CHECK_FALSE(Check({ { HttpDialect{}.deadline, text } }).fault.empty());
   }
 }
 
 TEST_CASE_METHOD(HeadFixture, "CheckHead, malformed idempotency key, refuses")
 {
-  CHECK(Check({ { kIdempotencyHeader, "abc" } }).idempotency == "abc");
-  CHECK_FALSE(Check({ { kIdempotencyHeader, "a b" } }).fault.empty());
+  CHECK(Check({ { HttpDialect{}.idempotency, "abc" } }).idempotency == "abc");
+  CHECK_FALSE(Check({ { HttpDialect{}.idempotency, "a b" } }).fault.empty());
   CHECK_FALSE(
-    Check({ { kIdempotencyHeader, std::string(129, 'a') } }).fault.empty());
+    Check({ { HttpDialect{}.idempotency, std::string(129, 'a') } }).fault.empty());
 }
 
 TEST_CASE_METHOD(HeadFixture, "ParseLoad, malformed reports, gives nothing")
 {
-  CHECK(*ParseLoad("1/2") == 0.5);
+  CHECK(ParseLoad("1/2", LoadFormat::UsedOfSlots)->Share() == 0.5);
   for (const char* text : { "1", "1/0", "a/b", "1/2/3", "" }) {
-    CHECK_FALSE(ParseLoad(text));
+    CHECK_FALSE(ParseLoad(text, LoadFormat::UsedOfSlots));
   }
 }
 
--- a/src/sapphirelane/proxy/node_runtime.cpp
+++ b/src/sapphirelane/proxy/node_runtime.cpp
@@ -1,7 +1,11 @@
 #include "sapphirelane/proxy/node_runtime.h"
 
+#include <fstream>
+#include <sstream>
 #include <utility>
 
+#include "sapphirelane/base/error.h"
+#include "sapphirelane/base/log.h"
 #include "sapphirelane/base/secret.h"
 
 namespace sapphirelane {
@@ -22,6 +26,18 @@
   return options;
 }
 
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream stream(aPath);
+  if (!stream) {
+    throw ConfigError(aPath + ": cannot be read");
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
 } // namespace
 
 NodeRuntime::NodeRuntime(const EntrySettings& aSettings,
@@ -32,6 +48,9 @@
   , m_address(aSettings.listen.address + ":" +
               std::to_string(aSettings.listen.peers))
 {
+  if (!m_settings.static_fleet.empty()) {
+    m_fixedFleet = DecodeFleet(ReadFile(m_settings.static_fleet));
+  }
   const NodeOptions options = OptionsOf(aSettings, m_address);
   m_node = MakeNode(options, *this);
   PeerLinkOptions link;
@@ -91,6 +110,45 @@
   m_store->Announce({ m_settings.host, m_address, aLeaving });
 }
 
+void
+NodeRuntime::Tick(TimePoint aNow)
+{
+  m_node->Tick(aNow);
+  ProposeFixedFleet(aNow);
+}
+
+void
+NodeRuntime::Measure(Metrics& aMetrics, TimePoint aNow)
+{
+  const NodeStatus status = m_node->Status(aNow);
+  aMetrics.Set("fresh", {}, status.fresh ? 1 : 0);
+  aMetrics.Set("head", {}, static_cast<double>(status.seq));
+  aMetrics.Set("members", {}, static_cast<double>(status.members));
+  aMetrics.Set("shards_held", {}, static_cast<double>(status.shards_held));
+  aMetrics.Set("claims", {}, static_cast<double>(status.claims));
+  aMetrics.Set("platform_answers", {}, status.store_answers ? 1 : 0);
+}
+
+/// Has the configuration of a daemon that runs alone accepted.
+void
+NodeRuntime::ProposeFixedFleet(TimePoint aNow)
+{
+  const FleetConfig* config = m_node->Config();
+  if (!m_fixedFleet || config == nullptr) {
+    return;
+  }
+  ChangeSet change;
+  change.id = "static-fleet";
+  change.author = m_settings.static_fleet;
+  change.rows = Difference(*config, *m_fixedFleet);
+  m_fixedFleet.reset();
+  m_node->Propose(change, aNow, [](const WriteResult& aResult, auto) {
+    if (!aResult.detail.empty()) {
+      LogLine("entry", "The fixed fleet is not usable: " + aResult.detail);
+    }
+  });
+}
+
 void
 NodeRuntime::Send(const std::string& aAddress, const PeerMessage& aMessage)
 {
@@ -129,4 +187,12 @@
   });
 }
 
+std::unique_ptr<FleetRuntime>
+MakeNodeRuntime(const EntrySettings& aSettings,
+                DispatchDuty& aDispatch,
+                Metrics& aMetrics)
+{
+  return std::make_unique<NodeRuntime>(aSettings, aDispatch, aMetrics);
+}
+
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/node_runtime.h
+++ b/src/sapphirelane/proxy/node_runtime.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_PROXY_NODE_RUNTIME_H
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "sapphirelane/config/settings.h"
@@ -9,27 +10,32 @@
 #include "sapphirelane/kernel/metrics.h"
 #include "sapphirelane/kernel/peer_link.h"
 #include "sapphirelane/membership/node.h"
-#include "sapphirelane/proxy/dispatch_duty.h"
+#include "sapphirelane/proxy/fleet_runtime.h"
 
 namespace sapphirelane {
 
 /// @brief Runs a node in a daemon: its links, its platform, its duties.
 ///
 /// The node itself is called on the deciding thread only.
-class NodeRuntime : public NodeEnv
+class NodeRuntime
+  : public FleetRuntime
+  , public NodeEnv
 {
 public:
   NodeRuntime(const EntrySettings& aSettings,
               DispatchDuty& aDispatch,
               Metrics& aMetrics);
 
-  Node& Get() { return *m_node; }
+  // FleetRuntime.
 
-  /// @brief Adds the duties of the links and the platform.
-  void AddDuties(Kernel& aKernel);
-
-  /// @brief Tells the platform's host list about this host.
-  void Announce(bool aLeaving);
+  FleetControl& Control() override { return *m_node; }
+  void AddDuties(Kernel& aKernel) override;
+  void Announce(bool aLeaving) override;
+  void Tick(TimePoint aNow) override;
+  void Measure(Metrics& aMetrics, TimePoint aNow) override;
+  void BeginStop(TimePoint aNow) override { m_node->BeginStop(aNow); }
+  bool IsStopped(TimePoint aNow) override { return m_node->IsStopped(aNow); }
+  OperatorReply HandleOperator(const OperatorCall& aCall) override;
 
   // NodeEnv, on the deciding thread.
 
@@ -38,12 +44,19 @@
   void CallPeer(BulkCall aCall) override;
 
 private:
+  OperatorReply Status();
+  OperatorReply History();
+  OperatorReply Propose(const std::string& aBody);
+  OperatorReply Withdraw(const std::string& aKey);
+
+  void ProposeFixedFleet(TimePoint aNow);
   BulkMessage Serve(NodeId aFrom, const BulkMessage& aRequest);
 
   EntrySettings m_settings;
   DispatchDuty& m_dispatch;
   std::string m_address;
   std::unique_ptr<Node> m_node;
+  std::optional<FleetConfig> m_fixedFleet; ///< To be proposed at the start.
   std::unique_ptr<DatagramDuty> m_datagramsOwned;
   std::unique_ptr<Duty> m_serverOwned;
   std::unique_ptr<BulkCallerDuty> m_callerOwned;
--- a/src/sapphirelane/proxy/operator_api.h
+++ b/src/sapphirelane/proxy/operator_api.h
@@ -4,7 +4,8 @@
 #include <atomic>
 
 #include "sapphirelane/proxy/dispatch_duty.h"
-#include "sapphirelane/proxy/node_runtime.h"
+#include "sapphirelane/proxy/dispatcher.h"
+#include "sapphirelane/proxy/fleet_runtime.h"
 #include "sapphirelane/proxy/operator_front.h"
 
 namespace sapphirelane {
@@ -15,8 +16,7 @@
 public:
   OperatorApi(DispatchDuty& aDispatch,
               Dispatcher& aDispatcher,
-              FleetControl& aControl,
-              NodeRuntime& aNode,
+              FleetRuntime& aFleet,
               const Metrics& aMetrics);
 
   OperatorReply Handle(const OperatorCall& aCall);
@@ -26,19 +26,14 @@
 
 private:
   OperatorReply HandleProbe(const OperatorCall& aCall);
-  OperatorReply HandleFleet(const OperatorCall& aCall);
   OperatorReply Ready();
   OperatorReply Config();
   OperatorReply Explain(const std::string& aRequest);
-  OperatorReply Status();
-  OperatorReply History();
-  OperatorReply Propose(const std::string& aBody);
-  OperatorReply Withdraw(const std::string& aKey);
 
   DispatchDuty& m_dispatch;
   Dispatcher& m_dispatcher;
   FleetControl& m_control;
-  NodeRuntime& m_node;
+  FleetRuntime& m_fleet;
   const Metrics& m_metrics;
   std::atomic<bool> m_stopping{ false };
 };
--- a/src/sapphirelane/proxy/pending_request.h
+++ b/src/sapphirelane/proxy/pending_request.h
@@ -29,6 +29,7 @@
   bool trial = false;
   bool stalled = false; ///< Reported as stalled.
   bool headed = false;  ///< Its head has come.
+  bool failed = false;  ///< Its head says so.
   bool shed = false;    ///< The upstream said that it did not run it.
 };
 
@@ -36,6 +37,7 @@
 struct PendingRequest
 {
   ExchangePtr exchange;
+  std::string name; ///< Its id in logs.
   CheckedHead head;
   std::string account; ///< Empty on a route open to all.
   std::string service;
@@ -56,6 +58,7 @@
   std::vector<Attempt> attempts;  ///< Running.
   std::vector<std::string> tried; ///< Endpoints, also of ended ones.
   std::uint32_t attempts_made = 0;
+  std::uint32_t attempts_sent = 0; ///< Those of which a byte may have left.
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/request_gate.cpp
+++ b/src/sapphirelane/proxy/request_gate.cpp
@@ -34,7 +34,7 @@
   if (refusal) {
     return refusal;
   }
-  const Route* route = FindRoute(*m_control.Config(), head.path);
+  const Route* route = FindRoute(*m_control.Config(), head.host, head.path);
   if (route == nullptr) {
     return NotRun(404, "no-route", "no route matches");
   }
@@ -69,7 +69,9 @@
 std::optional<Refusal>
 RequestGate::CheckLimits(const PendingRequest& aRequest) const
 {
-  if (aRequest.head.length.value_or(0) > m_limits.body_bytes) {
+  const std::uint64_t configured = m_control.Config()->limits.body_bytes;
+  const std::uint64_t most = configured > 0 ? configured : m_limits.body_bytes;
+  if (aRequest.head.length.value_or(0) > most) {
     return NotRun(413, "too-large", "the body is above the limit");
   }
   const bool needsKey = aRequest.route.mode == RouteMode::RunOnce;
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -25,12 +25,10 @@
 
 ServiceBook::ServiceBook(const LimitSettings& aLimits,
                          const PolicySettings& aPolicies,
-                         std::uint32_t aPool,
                          FleetControl& aControl,
                          Metrics& aMetrics)
   : m_limits(aLimits)
   , m_policies(aPolicies)
-  , m_pool(aPool)
   , m_control(aControl)
   , m_metrics(aMetrics)
 {
@@ -42,7 +40,8 @@
   const FleetConfig* config = m_control.Config();
   const auto rank = m_control.Rank();
   const bool known = m_loaded && config != nullptr &&
-                     config->version == m_version && rank == m_rank;
+                     config->version == m_version && rank == m_rank &&
+                     config->endpoint_revision == m_endpointRevision;
   if (config == nullptr || known) {
     return;
   }
@@ -51,6 +50,7 @@
             "Version " + std::to_string(config->version) + " is in force.");
   }
   m_version = config->version;
+  m_endpointRevision = config->endpoint_revision;
   m_rank = rank;
   m_loaded = true;
   for (const auto& entry : config->services) {
@@ -70,7 +70,10 @@
   aEntry.state =
     std::make_unique<ServiceState>(BalancerRegistry::Make(m_policies.balancer),
                                    EjectorRegistry::Make(m_policies.ejector),
-                                   m_pool);
+                                   ServiceStateOptions{
+                                     m_policies.pool,
+                                     m_policies.ahead,
+                                     m_control.DataCentre() });
   aEntry.queue =
     QueueRegistry::Make(m_policies.queue, m_limits.queue_per_account);
 }
--- a/src/sapphirelane/proxy/service_book.h
+++ b/src/sapphirelane/proxy/service_book.h
@@ -30,7 +30,6 @@
 public:
   ServiceBook(const LimitSettings& aLimits,
               const PolicySettings& aPolicies,
-              std::uint32_t aPool,
               FleetControl& aControl,
               Metrics& aMetrics);
 
@@ -53,11 +52,11 @@
 
   const LimitSettings m_limits;
   const PolicySettings m_policies;
-  const std::uint32_t m_pool;
   FleetControl& m_control;
   Metrics& m_metrics;
   bool m_loaded = false;
   std::uint64_t m_version = 0;
+  std::uint64_t m_endpointRevision = 0;
   std::pair<std::size_t, std::size_t> m_rank{ 0, 0 };
   std::map<std::string, ServiceEntry> m_services;
 };
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -18,6 +18,14 @@
 /// Age given to endpoints that were in service before this daemon started.
 constexpr Duration kWarm = std::chrono::hours(1);
 
+/// Cost of sending a body to another data centre, in requests a megabyte. Links
+/// between data centres are paid by volume: 5,900 for a gigabyte, where a
+/// request that carries a body is worth 2.
+constexpr double kTransferCost = 3;
+
+/// What a failure loses of a request that can be repeated: a later answer.
+constexpr double kRepeatableCost = 0.3;
+
 /// Connections that one host may need while a pool is being renewed.
 constexpr std::size_t kPoolsOfHost = 1;
 
@@ -25,10 +33,10 @@
 
 ServiceState::ServiceState(std::unique_ptr<Balancer> aBalancer,
                            std::unique_ptr<Ejector> aEjector,
-                           std::uint32_t aPool)
+                           ServiceStateOptions aOptions)
   : m_balancer(std::move(aBalancer))
   , m_ejector(std::move(aEjector))
-  , m_pool(aPool)
+  , m_options(std::move(aOptions))
 {
 }
 
@@ -56,11 +64,21 @@
     EndpointState& state = found->second;
     const bool returns = !isNew && state.endpoint.state == LifeState::Leaving &&
                          endpoint.state == LifeState::InService;
+    const bool restarted =
+      !isNew && state.endpoint.lifetime != endpoint.lifetime;
     if (isNew) {
       state.since = first ? aNow - kWarm : aNow;
-    } else if (returns) {
+    } else if (returns || restarted) {
       state.since = aNow;
     }
+    if (restarted) {
+      m_ejector->Reset(id);
+      state.latency = Duration(0);
+    }
+    const bool newlyCold = isNew || restarted;
+    if (newlyCold && endpoint.cold > Milliseconds::zero()) {
+      state.cold_until = aNow + endpoint.cold;
+    }
     state.endpoint = endpoint;
   }
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
@@ -68,7 +86,7 @@
     it = kept ? std::next(it) : m_endpoints.erase(it);
   }
   const std::size_t size =
-    SubsetSize(ids.size(), aHosts, connections, m_pool * kPoolsOfHost);
+    SubsetSize(ids.size(), aHosts, connections, m_options.pool * kPoolsOfHost);
   const auto subset = ChooseSubset(ids, aRank, size);
   for (auto& [id, state] : m_endpoints) {
     state.in_subset =
@@ -76,27 +94,45 @@
   }
 }
 
-bool
-ServiceState::HasRoom(const EndpointState& aState) const
+/// @return Attempts that may be sent to an endpoint now.
+std::uint32_t
+ServiceState::Room(const EndpointState& aState) const
 {
-  return aState.in_flight < std::min(aState.endpoint.slots, m_pool);
+  const std::uint32_t most =
+    std::min(aState.endpoint.slots + m_options.ahead, m_options.pool);
+  const std::uint32_t used = aState.in_flight + aState.others_in_flight;
+  return most - std::min(most, used);
 }
 
 bool
 ServiceState::MayChoose(const EndpointState& aState) const
 {
-  return aState.in_subset && HasRoom(aState) &&
+  return aState.in_subset && Room(aState) > 0 &&
          aState.endpoint.state == LifeState::InService &&
          !m_ejector->IsEjected(aState.endpoint.id);
 }
 
 Candidate
-ServiceState::CandidateOf(const EndpointState& aState, TimePoint aNow) const
+ServiceState::CandidateOf(const EndpointState& aState,
+                          const PlaceRequest& aRequest,
+                          TimePoint aNow) const
 {
   Candidate candidate;
   candidate.id = aState.endpoint.id;
   candidate.slots = aState.endpoint.slots;
   candidate.in_flight = aState.in_flight;
+  candidate.others_in_flight = aState.others_in_flight;
+  candidate.target = aRequest.target;
+  candidate.failure = m_ejector->FailureOf(aState.endpoint.id, aNow);
+  candidate.failure_cost = aRequest.repeatable ? kRepeatableCost : 1;
+  candidate.cold = aNow < aState.cold_until;
+  constexpr double kMegabyte = 1e6;
+  const bool remote = !m_options.data_centre.empty() &&
+                      aState.endpoint.data_centre != m_options.data_centre;
+  if (remote) {
+    candidate.transfer_cost =
+      static_cast<double>(aRequest.body_bytes) / kMegabyte * kTransferCost;
+  }
   candidate.reported_load = aState.load;
   candidate.report_age = aNow - aState.load_time;
   // An old estimate fades, so that a slow moment is not held against an
@@ -110,15 +146,14 @@
 }
 
 std::optional<Placement>
-ServiceState::Place(bool aMayTry,
-                    const std::vector<std::string>& aAvoid,
+ServiceState::Place(const PlaceRequest& aRequest,
                     TimePoint aNow,
                     Random& aRandom)
 {
   std::vector<Candidate> candidates;
   std::vector<Candidate> avoided;
   for (auto& [id, state] : m_endpoints) {
-    const bool tries = aMayTry && !state.trial_running && state.in_subset &&
+    const bool tries = aRequest.may_try && !state.trial_running && state.in_subset &&
                        state.endpoint.state == LifeState::InService &&
                        m_ejector->WantsTrial(id, aNow);
     if (tries) {
@@ -128,9 +163,11 @@
     if (!MayChoose(state)) {
       continue;
     }
-    const bool used =
-      std::find(aAvoid.begin(), aAvoid.end(), id) != aAvoid.end();
-    (used ? avoided : candidates).push_back(CandidateOf(state, aNow));
+    const bool used = std::find(aRequest.avoid.begin(),
+                                aRequest.avoid.end(),
+                                id) != aRequest.avoid.end();
+    (used ? avoided : candidates)
+      .push_back(CandidateOf(state, aRequest, aNow));
   }
   const auto& choice = candidates.empty() ? avoided : candidates;
   const auto index = m_balancer->Pick(choice, aNow, aRandom);
@@ -151,7 +188,7 @@
   for (const auto& entry : m_endpoints) {
     const EndpointState& state = entry.second;
     if (MayChoose(state)) {
-      free += std::min(state.endpoint.slots, m_pool) - state.in_flight;
+      free += Room(state);
     }
   }
   return free;
@@ -176,6 +213,60 @@
   }
 }
 
+std::uint32_t
+ServiceState::InFlight(const std::string& aEndpoint) const
+{
+  auto found = m_endpoints.find(aEndpoint);
+  return found == m_endpoints.end() ? 0 : found->second.in_flight;
+}
+
+Duration
+ServiceState::ExpectedWait(std::size_t aWaiting) const
+{
+  double slots = 0;
+  double ahead = static_cast<double>(aWaiting);
+  for (const auto& entry : m_endpoints) {
+    const EndpointState& state = entry.second;
+    if (state.endpoint.state == LifeState::InService) {
+      slots += state.endpoint.slots;
+      ahead += state.in_flight + state.others_in_flight;
+    }
+  }
+  if (slots == 0) {
+    return Duration::max();
+  }
+  const double rounds = std::max(0.0, ahead + 1 - slots) / slots;
+  return std::chrono::duration_cast<Duration>(
+    Seconds(rounds * ToSeconds(MeanLatency())));
+}
+
+Duration
+ServiceState::MeanLatency() const
+{
+  Duration sum{ 0 };
+  std::size_t known = 0;
+  for (const auto& entry : m_endpoints) {
+    if (entry.second.latency > Duration::zero()) {
+      sum += entry.second.latency;
+      ++known;
+    }
+  }
+  return known == 0 ? Duration(0) : sum / static_cast<int>(known);
+}
+
+void
+ServiceState::NoteLatency(EndpointState& aState,
+                          Duration aElapsed,
+                          TimePoint aNow)
+{
+  const double old = ToSeconds(aState.latency);
+  const double sample = ToSeconds(aElapsed);
+  const double mixed =
+    old == 0 ? sample : old + kLatencyWeight * (sample - old);
+  aState.latency = std::chrono::duration_cast<Duration>(Seconds(mixed));
+  aState.latency_time = aNow;
+}
+
 void
 ServiceState::Report(const std::string& aEndpoint, double aLoad, TimePoint aNow)
 {
@@ -199,12 +290,7 @@
   m_ejector->Observe(aEndpoint, aObservation, aNow);
   if (aObservation.result == WorkResult::Answered) {
     ++state.evidence.answered;
-    const double old = ToSeconds(state.latency);
-    const double sample = ToSeconds(aObservation.elapsed);
-    const double mixed =
-      old == 0 ? sample : old + kLatencyWeight * (sample - old);
-    state.latency = std::chrono::duration_cast<Duration>(Seconds(mixed));
-    state.latency_time = aNow;
+    NoteLatency(state, aObservation.elapsed, aNow);
   } else {
     ++state.evidence.bad;
     m_badEvidence = true;
@@ -215,11 +301,25 @@
 ServiceState::ObserveFleet(const FleetEvidence& aEvidence, TimePoint aNow)
 {
   for (const EndpointEvidence& one : aEvidence.endpoints) {
-    if (m_endpoints.count(one.endpoint) == 0) {
+    auto found = m_endpoints.find(one.endpoint);
+    if (found == m_endpoints.end()) {
       continue;
     }
-    const Observation good{ WorkResult::Answered, Duration(0), one.answered };
+    EndpointState& state = found->second;
+    if (one.in_flight) {
+      state.others_in_flight = *one.in_flight;
+    }
+    const Observation good{ WorkResult::Answered,
+                            one.answer_time,
+                            one.answered };
     const Observation bad{ WorkResult::Stalled, Duration(0), one.bad };
+    if (one.answered > 0 && one.answer_time > Duration::zero()) {
+      NoteLatency(state, one.answer_time, aNow);
+    }
+    if (one.shed > 0) {
+      m_ejector->Observe(
+        one.endpoint, { WorkResult::Shed, Duration(0), one.shed }, aNow);
+    }
     if (one.answered > 0) {
       m_ejector->Observe(one.endpoint, good, aNow);
     }
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -208,7 +208,7 @@
       Write("< nothing yet");
       return;
     }
-    const std::string* outcome = FindHeader(head->headers, kOutcomeHeader);
+    const std::string* outcome = FindHeader(head->headers, HttpDialect{}.outcome);
     std::string line = "< " + std::to_string(head->status);
     if (outcome != nullptr) {
       line += " " + *outcome;
@@ -234,7 +234,7 @@
   {
     const auto head = aExchange->CallerTakeHead();
     const std::string* outcome =
-      head ? FindHeader(head->headers, kOutcomeHeader) : nullptr;
+      head ? FindHeader(head->headers, HttpDialect{}.outcome) : nullptr;
     return outcome == nullptr ? "" : *outcome;
   }
 
@@ -371,7 +371,7 @@
                  "not run")
 {
   auto plain = Send("POST", "/plain/1");
-  const Headers shed = { { kShedHeader, "not-run" } };
+  const Headers shed = { { HttpDialect{}.not_run, "not-run" } };
   Head(1, 503, shed);
   End(1, false, true, "cancelled");
   REQUIRE(m_upstreams.orders.size() == 2);
@@ -472,7 +472,7 @@
   for (int i = 0; i < 6; ++i) {
     running.push_back(Send("POST", "/plain/1"));
   }
-  auto queued = Send("GET", "/read/1", { { kDeadlineHeader, "100" } });
+  auto queued = Send("GET", "/read/1", { { HttpDialect{}.deadline, "100" } });
   Pass(Milliseconds(150));
   CHECK(Status(queued) == 504);
   CHECK(Outcome(queued) == "not-run");
--- /dev/null
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -0,0 +1,198 @@
+#include "sapphirelane/relay/fleet_view.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace sapphirelane {
+
+FleetView::FleetView(FleetViewOptions aOptions)
+  : m_options(aOptions)
+{
+}
+
+bool
+FleetView::TakeConfig(FleetConfig aConfig)
+{
+  if (m_config && aConfig.version <= m_config->version) {
+    return false;
+  }
+  m_config = std::move(aConfig);
+  Rebuild();
+  return true;
+}
+
+bool
+FleetView::TakeEndpoints(std::uint64_t aBase,
+                         std::uint64_t aVersion,
+                         const std::vector<EndpointChange>& aChanges,
+                         Duration aAge,
+                         TimePoint aNow)
+{
+  const bool follows = aBase <= m_version;
+  if (follows) {
+    NoteFresh(aNow - aAge, aNow);
+  }
+  bool changed = false;
+  for (const EndpointChange& change : aChanges) {
+    changed = TakeChange(change, aNow) || changed;
+  }
+  if (aBase == 0 && aVersion >= m_version) {
+    changed = DropMissing(aChanges, aVersion, aNow) || changed;
+  }
+  if (follows) {
+    m_version = std::max(m_version, aVersion);
+  }
+  if (changed) {
+    ++m_revision;
+    Rebuild();
+  }
+  return follows;
+}
+
+void
+FleetView::NoteFresh(TimePoint aAsOf, TimePoint aNow)
+{
+  if (aAsOf <= m_asOf) {
+    return;
+  }
+  const bool known = m_asOf != TimePoint{};
+  if (known && aNow - m_asOf > m_options.outage_after) {
+    m_returned = aNow;
+  }
+  m_asOf = aAsOf;
+}
+
+bool
+FleetView::TakeChange(const EndpointChange& aChange, TimePoint aNow)
+{
+  Entry& entry = m_entries[aChange.id];
+  if (aChange.version <= entry.version) {
+    return false;
+  }
+  if (!aChange.endpoint) {
+    return Drop(entry, aChange.version, aNow);
+  }
+  entry.version = aChange.version;
+  entry.drop_at.reset();
+  const Endpoint& next = *aChange.endpoint;
+  const bool same =
+    entry.endpoint && entry.endpoint->state == next.state &&
+    entry.endpoint->service == next.service &&
+    entry.endpoint->address == next.address &&
+    entry.endpoint->slots == next.slots &&
+    entry.endpoint->data_centre == next.data_centre &&
+    entry.endpoint->lifetime == next.lifetime &&
+    (entry.endpoint->cold > Milliseconds::zero()) ==
+      (next.cold > Milliseconds::zero());
+  entry.endpoint = next;
+  return !same;
+}
+
+/// The endpoint's entry has vanished. Right after the store was away it may
+/// have lapsed only because the endpoint could not renew it.
+bool
+FleetView::Drop(Entry& aEntry, std::uint64_t aVersion, TimePoint aNow)
+{
+  aEntry.version = aVersion;
+  const bool leaving =
+    aEntry.endpoint && aEntry.endpoint->state == LifeState::Leaving;
+  const bool returned = m_returned != TimePoint{} &&
+                        aNow - m_returned < m_options.hold_gone;
+  if (aEntry.endpoint && returned && !leaving) {
+    aEntry.drop_at = m_returned + m_options.hold_gone;
+    return false;
+  }
+  const bool changed = aEntry.endpoint.has_value();
+  aEntry.endpoint.reset();
+  aEntry.drop_at.reset();
+  return changed;
+}
+
+bool
+FleetView::DropMissing(const std::vector<EndpointChange>& aAll,
+                       std::uint64_t aVersion,
+                       TimePoint aNow)
+{
+  std::set<std::string> there;
+  for (const EndpointChange& change : aAll) {
+    there.insert(change.id);
+  }
+  bool changed = false;
+  for (auto& [id, entry] : m_entries) {
+    const bool missing = there.count(id) == 0 && entry.endpoint &&
+                         entry.version <= aVersion && !entry.drop_at;
+    if (missing) {
+      changed = Drop(entry, aVersion, aNow) || changed;
+    }
+  }
+  return changed;
+}
+
+void
+FleetView::Tick(TimePoint aNow)
+{
+  bool changed = false;
+  for (auto& item : m_entries) {
+    Entry& entry = item.second;
+    if (entry.drop_at && aNow >= *entry.drop_at) {
+      entry.drop_at.reset();
+      entry.endpoint.reset();
+      changed = true;
+    }
+  }
+  if (changed) {
+    ++m_revision;
+    Rebuild();
+  }
+}
+
+void
+FleetView::Rebuild()
+{
+  if (!m_config) {
+    return;
+  }
+  m_config->endpoint_revision = m_revision;
+  m_config->endpoints.clear();
+  for (const auto& [id, entry] : m_entries) {
+    if (!entry.endpoint) {
+      continue;
+    }
+    Endpoint& endpoint = m_config->endpoints[id] = *entry.endpoint;
+    auto service = m_config->services.find(endpoint.service);
+    if (service != m_config->services.end()) {
+      endpoint.connections = std::max(1U, service->second.connections);
+    }
+  }
+}
+
+const FleetConfig*
+FleetView::Config() const
+{
+  return m_config && m_version > 0 ? &*m_config : nullptr;
+}
+
+std::uint64_t
+FleetView::ConfigVersion() const
+{
+  return m_config ? m_config->version : 0;
+}
+
+Duration
+FleetView::Age(TimePoint aNow) const
+{
+  return m_asOf == TimePoint{} ? Duration::max() : aNow - m_asOf;
+}
+
+std::vector<EndpointChange>
+FleetView::Endpoints() const
+{
+  std::vector<EndpointChange> changes;
+  for (const auto& [id, entry] : m_entries) {
+    changes.push_back({ id, entry.version, entry.endpoint });
+  }
+  return changes;
+}
+
+} // namespace sapphirelane
--- /dev/null
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -0,0 +1,792 @@
+#include "sapphirelane/relay/store_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sapphirelane/base/error.h"
+#include "sapphirelane/base/log.h"
+#include "sapphirelane/relay/work_board.h"
+
+namespace sapphirelane {
+
+namespace {
+
+/// Between two words of this daemon's presence; a live daemon is heard three
+/// times within PeerBookOptions::live_for.
+constexpr Milliseconds kPresencePeriod{ 500 };
+
+/// Daemons of each other data centre that are told of the presence at a time.
+constexpr std::size_t kRemotePresence = 2;
+
+/// Daemons of each other data centre that spread a message there.
+constexpr std::size_t kRelays = 1;
+constexpr std::size_t kUrgentRelays = 2;
+
+/// Longest time for which news of good work is held back to be summed up.
+constexpr Milliseconds kNewsPeriod{ 20 };
+
+/// Between two tries to write this daemon's entry or read those of others.
+constexpr Milliseconds kAnnounceRetry{ 1000 };
+
+/// A view this old, with a store that does not answer, is asked of a peer.
+constexpr Milliseconds kAskPeerAfter{ 1300 };
+constexpr Milliseconds kAskPeerPeriod{ 1000 };
+
+/// Sequence up to which a daemon's counters are taken whole when it is first
+/// heard; beyond it, it counted before this daemon listened.
+constexpr std::uint32_t kYoungSequence = 3;
+
+/// Claims are valid for as long as the request; nothing lapses here.
+constexpr Milliseconds kTokenLife{ 60000 };
+
+/// Tokens that can still be given back: more than requests in flight.
+constexpr std::size_t kMostTokens = 8192;
+
+/// Largest changes that are told in one datagram.
+constexpr std::size_t kMostChanges = 24;
+
+WireEndpoint
+ToWire(const EndpointChange& aChange)
+{
+  WireEndpoint wire;
+  wire.id = aChange.id;
+  wire.version = aChange.version;
+  wire.gone = !aChange.endpoint.has_value();
+  if (aChange.endpoint) {
+    const Endpoint& endpoint = *aChange.endpoint;
+    wire.leaving = endpoint.state == LifeState::Leaving;
+    wire.service = endpoint.service;
+    wire.address = endpoint.address;
+    wire.data_centre = endpoint.data_centre;
+    wire.slots = endpoint.slots;
+    wire.lifetime = endpoint.lifetime;
+    wire.cold_ms = static_cast<std::uint32_t>(endpoint.cold.count());
+  }
+  return wire;
+}
+
+EndpointChange
+FromWire(const WireEndpoint& aWire)
+{
+  EndpointChange change{ aWire.id, aWire.version, std::nullopt };
+  if (!aWire.gone) {
+    Endpoint endpoint;
+    endpoint.id = aWire.id;
+    endpoint.state = aWire.leaving ? LifeState::Leaving : LifeState::InService;
+    endpoint.service = aWire.service;
+    endpoint.address = aWire.address;
+    endpoint.data_centre = aWire.data_centre;
+    endpoint.slots = std::max(1U, aWire.slots);
+    endpoint.lifetime = aWire.lifetime;
+    endpoint.cold = Milliseconds(aWire.cold_ms);
+    change.endpoint = endpoint;
+  }
+  return change;
+}
+
+template<typename From, typename Convert>
+auto
+Converted(const std::vector<From>& aItems, const Convert& aConvert)
+{
+  std::vector<decltype(aConvert(aItems.front()))> result;
+  result.reserve(aItems.size());
+  for (const From& item : aItems) {
+    result.push_back(aConvert(item));
+  }
+  return result;
+}
+
+class RelayedFleet : public StoreFleet
+{
+public:
+  RelayedFleet(StoreFleetOptions aOptions, StoreFleetEnv& aEnv)
+    : m_options(std::move(aOptions))
+    , m_env(aEnv)
+    , m_random(m_options.seed)
+    , m_view(m_options.view)
+    , m_pacer(m_options.pacer)
+    , m_peers(m_options.peers, m_options.self)
+    , m_quota(m_options.quota)
+    , m_extras(m_options.extras)
+  {
+    for (const std::string& seed : m_options.seeds) {
+      m_peers.OnSeed(seed);
+    }
+  }
+
+  // FleetControl.
+
+  const FleetConfig* Config() const override { return m_view.Config(); }
+  const KeyDirectory& Keys() const override { return m_keys; }
+  bool IsFresh(TimePoint /*aNow*/) const override { return true; }
+  std::pair<std::size_t, std::size_t> Rank() const override { return m_rank; }
+  std::string DataCentre() const override
+  {
+    return m_options.self.data_centre;
+  }
+
+  AskId AskToken(const std::string& aAccount,
+                 TimePoint /*aDeadline*/,
+                 TimePoint aNow) override
+  {
+    TokenResult result;
+    result.ask = ++m_lastAsk;
+    result.valid_until = aNow + kTokenLife;
+    const auto wait = m_quota.Take(aAccount, aNow);
+    if (wait) {
+      result.verdict = TokenVerdict::Refused;
+      result.retry_after = std::max(Milliseconds(1), ToMilliseconds(*wait));
+    } else {
+      result.verdict = TokenVerdict::Granted;
+      m_spent[result.ask] = aAccount;
+      if (m_spent.size() > kMostTokens) {
+        m_spent.erase(m_spent.begin()); // It has long been used.
+      }
+      m_board.NoteSpent(aAccount, 1);
+    }
+    m_events.emplace_back(result);
+    return result.ask;
+  }
+
+  void ReturnToken(AskId aAsk, TimePoint aNow) override
+  {
+    auto found = m_spent.find(aAsk);
+    if (found != m_spent.end()) {
+      m_quota.Return(found->second, aNow);
+      m_board.NoteSpent(found->second, -1);
+      m_spent.erase(found);
+    }
+  }
+
+  AskId AskClaim(Claim /*aClaim*/,
+                 TimePoint /*aDeadline*/,
+                 TimePoint /*aNow*/) override
+  {
+    // Each attempt of a caller has an id of its own here and comes to one
+    // daemon, so there is no claim that another one could hold.
+    ClaimResult result;
+    result.ask = ++m_lastAsk;
+    result.reply.verdict = ClaimVerdict::Granted;
+    m_events.emplace_back(result);
+    return result.ask;
+  }
+
+  bool MaySend(AskId /*aClaim*/, TimePoint /*aNow*/) override { return true; }
+
+  void FinishClaim(AskId /*aClaim*/,
+                   ClaimState /*aState*/,
+                   const KeptAnswer& /*aAnswer*/,
+                   TimePoint /*aNow*/) override
+  {
+  }
+
+  void ReleaseClaim(AskId /*aClaim*/, TimePoint /*aNow*/) override {}
+
+  void ShareEvidence(const FleetEvidence& /*aEvidence*/,
+                     TimePoint /*aNow*/) override
+  {
+    // Every result is told by ShareWork.
+  }
+
+  void ShareWork(const WorkReport& aReport, TimePoint aNow) override
+  {
+    m_board.NoteOwn(aReport);
+    if (aReport.begins) {
+      m_extras.NoteRequests(aReport.service, 1, aNow);
+    }
+    const bool bad = aReport.bad > 0 || aReport.shed > 0;
+    if (bad || aReport.begins || aReport.extra) {
+      SendNews(bad ? kUrgentRelays : kRelays, aNow);
+    }
+  }
+
+  bool TakeExtra(const std::string& aService, TimePoint aNow) override
+  {
+    return m_extras.Take(aService, aNow);
+  }
+
+  std::vector<ControlEvent> TakeEvents() override
+  {
+    return std::exchange(m_events, {});
+  }
+
+  // StoreFleet.
+
+  void Tick(TimePoint aNow) override
+  {
+    m_view.Tick(aNow);
+    m_peers.Tick(aNow);
+    Announce(aNow);
+    ReadStore(aNow);
+    AskPeer(aNow);
+    if (aNow >= m_nextPresence) {
+      m_nextPresence = aNow + kPresencePeriod;
+      SendPresence(aNow);
+      DropDead(aNow);
+      const std::size_t live = m_peers.Live(aNow);
+      const std::size_t counted = m_peers.Counted(aNow);
+      NoteHeard(live, counted, aNow);
+    }
+    if (m_board.HasNews() && aNow - m_lastNews >= kNewsPeriod) {
+      SendNews(kRelays, aNow);
+    }
+  }
+
+  void OnMessage(const std::string& aAddress,
+                 const PeerMessage& aMessage,
+                 TimePoint aNow) override
+  {
+    std::visit([&](const auto& aOne) { Handle(aAddress, aOne, aNow); },
+               aMessage);
+  }
+
+  void OnSource(const SourceResult& aResult, TimePoint aNow) override
+  {
+    NoteStore(aResult);
+    switch (aResult.kind) {
+      case SourceCall::Kind::ReadEndpoints:
+        OnEndpointsRead(aResult, aNow);
+        break;
+      case SourceCall::Kind::ReadConfig:
+        OnConfigRead(aResult, aNow);
+        break;
+      case SourceCall::Kind::ReadHosts:
+        OnHostsRead(aResult, aNow);
+        break;
+      case SourceCall::Kind::WriteHost:
+        m_written = aResult.answered;
+        break;
+      case SourceCall::Kind::RemoveHost:
+        break;
+    }
+  }
+
+  void OnBulkReply(std::uint64_t aCall,
+                   const BulkReply& aReply,
+                   TimePoint aNow) override
+  {
+    if (aCall != m_peerCall) {
+      return;
+    }
+    m_peerCall = 0;
+    const auto* view =
+      aReply ? std::get_if<ViewReply>(&*aReply) : nullptr;
+    if (view == nullptr || !view->known) {
+      m_wantsConfig = m_wantsConfig || m_askedForConfig;
+      return;
+    }
+    TakeView(*view, aNow);
+  }
+
+  BulkMessage ServeBulk(const BulkMessage& aRequest, TimePoint aNow) override
+  {
+    ViewReply reply;
+    const auto* fetch = std::get_if<FetchView>(&aRequest);
+    const FleetConfig* config = m_view.Config();
+    if (fetch == nullptr || config == nullptr) {
+      return reply;
+    }
+    reply.known = true;
+    reply.age_ms =
+      static_cast<std::uint32_t>(ToMilliseconds(m_view.Age(aNow)).count());
+    reply.version = m_view.Version();
+    reply.endpoints = Converted(m_view.Endpoints(), ToWire);
+    if (config->version > fetch->config_version) {
+      FleetConfig copy = *config;
+      copy.endpoints.clear();
+      reply.config = EncodeFleet(copy);
+    }
+    return reply;
+  }
+
+  void BeginStop(TimePoint aNow) override
+  {
+    m_leaving = true;
+    SendPresence(aNow);
+    SourceCall call;
+    call.kind = SourceCall::Kind::RemoveHost;
+    call.host.host = m_options.self.host;
+    m_env.CallSource(call);
+  }
+
+  StoreFleetStatus Status(TimePoint aNow) const override
+  {
+    StoreFleetStatus status;
+    status.config_version = m_view.ConfigVersion();
+    const FleetConfig* config = m_view.Config();
+    status.endpoints = config == nullptr ? 0 : config->endpoints.size();
+    status.view_age = m_view.Age(aNow);
+    status.live = m_peers.Live(aNow);
+    status.counted = m_peers.Counted(aNow);
+    status.store_answers = m_storeAnswers;
+    return status;
+  }
+
+private:
+  // The store.
+
+  void Announce(TimePoint aNow)
+  {
+    if (m_listed || aNow < m_nextAnnounce) {
+      return;
+    }
+    m_nextAnnounce = aNow + kAnnounceRetry;
+    SourceCall call;
+    call.kind = m_written ? SourceCall::Kind::ReadHosts
+                          : SourceCall::Kind::WriteHost;
+    call.host = { m_options.self.host,
+                  m_options.self.data_centre,
+                  m_options.self.address };
+    m_env.CallSource(call);
+    if (!m_written) {
+      // Whoever reads later of two daemons finds the other's entry.
+      call.kind = SourceCall::Kind::ReadHosts;
+      m_env.CallSource(call);
+    }
+  }
+
+  void ReadStore(TimePoint aNow)
+  {
+    const bool due =
+      m_pacer.IsDue(m_view.Age(aNow), m_peers.Order(aNow), aNow);
+    if (due) {
+      m_pacer.Begin(aNow);
+      SourceCall call;
+      call.kind = SourceCall::Kind::ReadEndpoints;
+      call.after = m_view.Version();
+      m_env.CallSource(call);
+      ReadConfig();
+    } else if (m_wantsConfig) {
+      ReadConfig();
+    }
+  }
+
+  void ReadConfig()
+  {
+    m_wantsConfig = false;
+    if (m_readsConfig) {
+      return;
+    }
+    m_readsConfig = true;
+    SourceCall call;
+    call.kind = SourceCall::Kind::ReadConfig;
+    call.after = m_configCursor;
+    m_env.CallSource(call);
+  }
+
+  void NoteStore(const SourceResult& aResult)
+  {
+    if (aResult.answered == m_storeAnswers) {
+      return;
+    }
+    m_storeAnswers = aResult.answered;
+    LogLine("store",
+            aResult.answered
+              ? std::string("The store answers.")
+              : std::string("The store does not answer. call=") +
+                  SourceCallName(aResult.kind) + " error=\"" + aResult.error +
+                  "\"");
+  }
+
+  void OnEndpointsRead(const SourceResult& aResult, TimePoint aNow)
+  {
+    m_pacer.End(aResult.answered, aNow, m_random);
+    if (!aResult.answered) {
+      return;
+    }
+    const EndpointBatch& batch = aResult.endpoints;
+    const std::uint64_t base = batch.whole ? 0 : aResult.after;
+    const Duration age = aNow - aResult.asked;
+    m_view.TakeEndpoints(base, batch.version, batch.changes, age, aNow);
+    OnViewChanged(aNow, "store");
+    TellView(batch.whole ? batch.version : aResult.after,
+             batch.changes,
+             age,
+             aNow);
+  }
+
+  void OnConfigRead(const SourceResult& aResult, TimePoint aNow)
+  {
+    m_readsConfig = false;
+    if (!aResult.answered) {
+      return;
+    }
+    m_configCursor = std::max(m_configCursor, aResult.config.version);
+    if (aResult.config.config && m_view.TakeConfig(*aResult.config.config)) {
+      OnViewChanged(aNow, "store");
+      TellView(m_view.Version(), {}, m_view.Age(aNow), aNow);
+    }
+  }
+
+  void OnHostsRead(const SourceResult& aResult, TimePoint aNow)
+  {
+    if (!aResult.answered) {
+      return;
+    }
+    m_listed = m_written;
+    for (const HostEntry& entry : aResult.hosts) {
+      m_peers.OnListed(entry, aNow);
+    }
+    SendPresence(aNow);
+  }
+
+  // The view.
+
+  void TellView(std::uint64_t aBase,
+                const std::vector<EndpointChange>& aChanges,
+                Duration aAge,
+                TimePoint aNow)
+  {
+    ViewNews news;
+    news.age_ms = static_cast<std::uint32_t>(ToMilliseconds(aAge).count());
+    news.base = aBase;
+    news.version = m_view.Version();
+    news.config_version = m_view.ConfigVersion();
+    if (aChanges.size() <= kMostChanges) {
+      news.changes = Converted(aChanges, ToWire);
+    } else {
+      news.base = news.version; // Those that lack the changes fetch them.
+    }
+    Spread(news, kRelays, aNow);
+  }
+
+  /// Sends to all daemons of this data centre and to some of each other one,
+  /// which send it on in theirs.
+  template<typename News>
+  void Spread(News aNews, std::size_t aRelays, TimePoint aNow)
+  {
+    aNews.spread = false;
+    const PeerMessage near = aNews;
+    for (const std::string& address : m_peers.Neighbours(aNow)) {
+      m_env.Send(address, near);
+    }
+    aNews.spread = true;
+    const PeerMessage far = aNews;
+    for (const std::string& address : m_peers.Relays(aRelays, aNow, m_random)) {
+      m_env.Send(address, far);
+    }
+  }
+
+  template<typename News>
+  void SpreadOn(News aNews, TimePoint aNow)
+  {
+    aNews.spread = false;
+    const PeerMessage message = aNews;
+    for (const std::string& address : m_peers.Neighbours(aNow)) {
+      m_env.Send(address, message);
+    }
+  }
+
+  void Handle(const std::string& aAddress,
+              const ViewNews& aNews,
+              TimePoint aNow)
+  {
+    const auto changes = Converted(aNews.changes, FromWire);
+    const bool follows = m_view.TakeEndpoints(std::max<std::uint64_t>(
+                                                1, aNews.base),
+                                              aNews.version,
+                                              changes,
+                                              Milliseconds(aNews.age_ms),
+                                              aNow);
+    OnViewChanged(aNow, "peer");
+    if (aNews.spread) {
+      ViewNews own = aNews;
+      own.config_version = m_view.ConfigVersion();
+      SpreadOn(own, aNow);
+    }
+    const bool newConfig = aNews.config_version > m_view.ConfigVersion();
+    if (!newConfig && follows) {
+      return;
+    }
+    const bool near =
+      m_peers.DataCentreAt(aAddress) == m_options.self.data_centre;
+    if (near) {
+      FetchFrom(aAddress, newConfig, aNow);
+    } else if (newConfig) {
+      m_wantsConfig = true;
+    }
+  }
+
+  /// Asks a daemon that cannot be read from the store for its view.
+  void AskPeer(TimePoint aNow)
+  {
+    const bool old = m_view.Age(aNow) > kAskPeerAfter ||
+                     m_view.Config() == nullptr;
+    if (!old || aNow < m_nextPeerAsk) {
+      return;
+    }
+    m_nextPeerAsk = aNow + kAskPeerPeriod;
+    auto addresses = m_peers.Neighbours(aNow);
+    const auto remote = m_peers.Relays(1, aNow, m_random);
+    addresses.insert(addresses.end(), remote.begin(), remote.end());
+    if (addresses.empty()) {
+      addresses = m_options.seeds;
+    }
+    if (!addresses.empty()) {
+      std::uniform_int_distribution<std::size_t> draw(0, addresses.size() - 1);
+      FetchFrom(addresses[draw(m_random)], false, aNow);
+    }
+  }
+
+  void FetchFrom(const std::string& aAddress, bool aForConfig, TimePoint aNow)
+  {
+    if (m_peerCall != 0 && aNow < m_peerCallUntil) {
+      return;
+    }
+    m_peerCall = ++m_lastCall;
+    m_peerCallUntil = aNow + kAskPeerPeriod;
+    m_askedForConfig = aForConfig;
+    BulkCall call;
+    call.id = m_peerCall;
+    call.address = aAddress;
+    call.request = FetchView{ m_view.ConfigVersion() };
+    m_env.CallPeer(call);
+  }
+
+  void TakeView(const ViewReply& aReply, TimePoint aNow)
+  {
+    if (!aReply.config.empty()) {
+      try {
+        m_view.TakeConfig(DecodeAcceptedFleet(aReply.config));
+      } catch (const ConfigError& error) {
+        LogLine("view",
+                std::string("A peer's configuration is not usable. error=\"") +
+                  error.what() + "\"");
+      }
+    }
+    m_view.TakeEndpoints(0,
+                         aReply.version,
+                         Converted(aReply.endpoints, FromWire),
+                         Milliseconds(aReply.age_ms),
+                         aNow);
+    OnViewChanged(aNow, "peer");
+  }
+
+  void OnViewChanged(TimePoint aNow, const char* aFrom)
+  {
+    const FleetConfig* config = m_view.Config();
+    const bool same = config == nullptr ||
+                      (config->version == m_loadedVersion &&
+                       config->endpoint_revision == m_loadedRevision);
+    if (same) {
+      return;
+    }
+    if (config->version != m_loadedVersion) {
+      m_keys.Load(*config);
+      m_quota.Load(*config, aNow);
+    }
+    m_board.Load(*config);
+    m_loadedVersion = config->version;
+    m_loadedRevision = config->endpoint_revision;
+    LogLine("view",
+            "The view has changed. config=" + std::to_string(config->version) +
+              " endpoints=" + std::to_string(config->endpoints.size()) +
+              " store_version=" + std::to_string(m_view.Version()) +
+              " from=" + aFrom);
+  }
+
+  // Presence.
+
+  PresenceNews Presence(TimePoint aNow) const
+  {
+    PresenceNews news;
+    news.self = m_options.self;
+    news.started_ms = m_options.started_ms;
+    news.leaving = m_leaving;
+    news.neighbours = m_peers.NeighbourHashes(aNow);
+    return news;
+  }
+
+  void SendPresence(TimePoint aNow)
+  {
+    const PeerMessage message = Presence(aNow);
+    for (const std::string& address :
+         m_peers.PresenceTargets(kRemotePresence, m_random)) {
+      m_env.Send(address, message);
+    }
+  }
+
+  void Handle(const std::string& aAddress,
+              const PresenceNews& aNews,
+              TimePoint aNow)
+  {
+    const bool isNew = m_peers.OnPresence(aNews, aNow);
+    if (isNew) {
+      LogLine("peers",
+              "A daemon is heard. host=" + aNews.self.host +
+                " data_centre=" + aNews.self.data_centre);
+      m_env.Send(aAddress, Presence(aNow));
+    }
+  }
+
+  void NoteHeard(std::size_t aLive, std::size_t aCounted, TimePoint aNow)
+  {
+    m_quota.SetHeard(aLive, aCounted);
+    m_rank = { m_peers.CountedOrder(aNow), aCounted };
+    m_extras.SetShare(m_quota.Share());
+    if (aLive != m_live) {
+      LogLine("peers",
+              "Daemons that live have changed. live=" + std::to_string(aLive) +
+                " counted=" + std::to_string(aCounted));
+    }
+    m_live = aLive;
+  }
+
+  void DropDead(TimePoint aNow)
+  {
+    for (NodeId node : m_board.Nodes()) {
+      if (!m_peers.IsLive(node, aNow)) {
+        AddEvidence(m_board.Drop(node));
+      }
+    }
+  }
+
+  // Work.
+
+  void SendNews(std::size_t aRelays, TimePoint aNow)
+  {
+    WorkNews news = m_board.TakeNews();
+    news.origin = m_options.self.id;
+    news.sequence = ++m_sequence;
+    m_lastNews = aNow;
+    Spread(std::move(news), aRelays, aNow);
+  }
+
+  void Handle(const std::string& /*aAddress*/,
+              const WorkNews& aNews,
+              TimePoint aNow)
+  {
+    if (aNews.origin == m_options.self.id) {
+      return;
+    }
+    Heard& heard = m_heard[aNews.origin];
+    if (aNews.sequence <= heard.sequence) {
+      return; // It came by another way before.
+    }
+    const bool young = aNews.sequence <= kYoungSequence;
+    const bool first = heard.sequence == 0;
+    heard.sequence = aNews.sequence;
+    if (aNews.spread) {
+      SpreadOn(aNews, aNow);
+    }
+    for (const AccountWork& work : aNews.accounts) {
+      const std::uint32_t more =
+        heard.Advance(heard.spent, work.account, work.spent, !first || young);
+      // What was given back makes the number smaller.
+      const auto change = static_cast<std::int32_t>(more);
+      if (change > 0) {
+        m_quota.NoteOthers(m_board.AccountOf(work.account), more, aNow);
+      }
+    }
+    for (const ServiceWork& work : aNews.services) {
+      const std::string service = m_board.ServiceOf(work.service);
+      const std::uint32_t requests = heard.Advance(
+        heard.requests, work.service, work.requests, !first || young);
+      const std::uint32_t extras = heard.Advance(
+        heard.extras, work.service, work.extras, !first || young);
+      m_extras.NoteRequests(service, requests, aNow);
+      m_extras.NoteExtras(service, extras, aNow);
+    }
+    AddEvidence(m_board.Take(aNews));
+  }
+
+  void AddEvidence(std::vector<FleetEvidence> aEvidence)
+  {
+    for (FleetEvidence& one : aEvidence) {
+      m_events.emplace_back(std::move(one));
+    }
+  }
+
+  /// Messages of another kind of fleet mean nothing to this one.
+  template<typename Other>
+  void Handle(const std::string& /*aAddress*/,
+              const Other& /*aMessage*/,
+              TimePoint /*aNow*/)
+  {
+  }
+
+  /// What one run of a daemon has told of its counters.
+  struct Heard
+  {
+    using Counters = std::map<std::uint32_t, std::uint32_t>;
+
+    std::uint32_t sequence = 0;
+    Counters spent;
+    Counters requests;
+    Counters extras;
+
+    /// @return How far a counter has advanced; 0 for a first value that was
+    /// reached before this daemon listened.
+    static std::uint32_t Advance(Counters& aCounters,
+                                 std::uint32_t aKey,
+                                 std::uint32_t aValue,
+                                 bool aCounts)
+    {
+      auto [found, isNew] = aCounters.try_emplace(aKey, aCounts ? 0 : aValue);
+      return aValue - std::exchange(found->second, aValue);
+    }
+  };
+
+  StoreFleetOptions m_options;
+  StoreFleetEnv& m_env;
+  Random m_random;
+  FleetView m_view;
+  ReadPacer m_pacer;
+  PeerBook m_peers;
+  QuotaLedger m_quota;
+  ExtraBudget m_extras;
+  WorkBoard m_board;
+  KeyDirectory m_keys;
+  std::vector<ControlEvent> m_events;
+  std::map<NodeId, Heard> m_heard;
+  std::map<AskId, std::string> m_spent; ///< Accounts of tokens in use.
+  AskId m_lastAsk = 0;
+  std::uint64_t m_lastCall = 0;
+  std::uint64_t m_peerCall = 0; ///< Under way; 0 for none.
+  TimePoint m_peerCallUntil{};
+  bool m_askedForConfig = false;
+  TimePoint m_nextAnnounce{};
+  TimePoint m_nextPresence{};
+  TimePoint m_nextPeerAsk{};
+  TimePoint m_lastNews{};
+  std::uint64_t m_configCursor = 0;
+  std::uint64_t m_loadedVersion = 0;
+  std::uint64_t m_loadedRevision = 0;
+  std::uint32_t m_sequence = 0;
+  std::size_t m_live = 1;
+  std::pair<std::size_t, std::size_t> m_rank{ 0, 1 }; ///< For subsets.
+  bool m_readsConfig = false;
+  bool m_wantsConfig = false;
+  bool m_written = false;
+  bool m_listed = false;
+  bool m_leaving = false;
+  bool m_storeAnswers = false;
+};
+
+} // namespace
+
+const char*
+SourceCallName(SourceCall::Kind aKind)
+{
+  switch (aKind) {
+    case SourceCall::Kind::ReadEndpoints:
+      return "read-endpoints";
+    case SourceCall::Kind::ReadConfig:
+      return "read-config";
+    case SourceCall::Kind::ReadHosts:
+      return "read-hosts";
+    case SourceCall::Kind::WriteHost:
+      return "write-host";
+    case SourceCall::Kind::RemoveHost:
+      break;
+  }
+  return "remove-host";
+}
+
+std::unique_ptr<StoreFleet>
+MakeStoreFleet(StoreFleetOptions aOptions, StoreFleetEnv& aEnv)
+{
+  return std::make_unique<RelayedFleet>(std::move(aOptions), aEnv);
+}
+
+} // namespace sapphirelane
--- a/src/sapphirelane/routing/baseline_ejectors.cpp
+++ b/src/sapphirelane/routing/baseline_ejectors.cpp
@@ -110,6 +110,7 @@
   bool IsBad(const Observation& aObservation) const override
   {
     return aObservation.result != WorkResult::ProbeOk &&
+           aObservation.result != WorkResult::Shed &&
            aObservation.elapsed > m_threshold;
   }
 
--- a/src/sapphirelane/routing/ejector.cpp
+++ b/src/sapphirelane/routing/ejector.cpp
@@ -52,7 +52,9 @@
                const Observation& aObservation,
                TimePoint aNow) override
   {
-    if (aObservation.result == WorkResult::ProbeOk) {
+    const bool tells = aObservation.result != WorkResult::ProbeOk &&
+                       aObservation.result != WorkResult::Shed;
+    if (!tells) {
       return;
     }
     State& state = m_states[aEndpoint];
--- a/src/sapphirelane/platform/http_client.cpp
+++ b/src/sapphirelane/store/http_client.cpp
@@ -1,4 +1,4 @@
-#include "sapphirelane/platform/http_client.h"
+#include "sapphirelane/store/http_client.h"
 
 #include <curl/curl.h>
 
--- a/src/sapphirelane/platform/http_platform.cpp
+++ b/src/sapphirelane/store/http_store.cpp
@@ -1,9 +1,9 @@
-#include "sapphirelane/platform/platform.h"
+#include "sapphirelane/store/store.h"
 
 #include <nlohmann/json.hpp>
 
 #include "sapphirelane/base/error.h"
-#include "sapphirelane/platform/http_client.h"
+#include "sapphirelane/store/http_client.h"
 
 namespace sapphirelane {
 
--- a/src/sapphirelane/platform/memory_platform.cpp
+++ b/src/sapphirelane/store/memory_store.cpp
@@ -1,6 +1,6 @@
 #include <map>
 
-#include "sapphirelane/platform/platform.h"
+#include "sapphirelane/store/store.h"
 
 namespace sapphirelane {
 
