Let a failed hedge wait for the first attempt; give moved endpoints no work

Ruled out: a further attempt, as the route allows two endpoints. Change: a failed attempt beside a running one is dropped; an endpoint that answers 421 is out of choice until its entry changes, and others hear of it as three bad results.

--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -79,6 +79,10 @@
   /// @brief Mean time to an answer, over the endpoints; 0 if unknown.
   Duration MeanLatency() const;
 
+  /// @brief Notes that another endpoint answers at the endpoint's address. It
+  /// gets no work until its entry changes.
+  void NoteMoved(const std::string& aEndpoint);
+
   /// @brief Notes a load report.
   void Report(const std::string& aEndpoint, double aLoad, TimePoint aNow);
 
@@ -120,6 +124,7 @@
     TimePoint since{};
     TimePoint cold_until{};
     bool in_subset = true;
+    bool moved = false;
     bool trial_running = false;
     EndpointEvidence evidence;
   };
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -35,6 +35,10 @@
 /// not be reached.
 constexpr std::uint32_t kMostPlacings = 6;
 
+/// Bad results that an endpoint counts which is not at its address any more;
+/// enough for others to avoid it for as long as a spell lasts.
+constexpr std::uint32_t kMovedEvidence = 3;
+
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
@@ -604,6 +608,12 @@
       }
     }
     if (SaysNotRun(aEvent.head, dialect)) {
+      const bool moved = dialect.other_endpoint_status != 0 &&
+                         aEvent.head.status == dialect.other_endpoint_status;
+      if (moved) {
+        state.NoteMoved(attempt->endpoint);
+        attempt->moved = true;
+      }
       OnShed(aId, aRequest, *attempt, aNow);
       return;
     }
@@ -620,7 +630,9 @@
     if (aRequest.stage == Stage::Answering) {
       return;
     }
-    if (failed && IsSafe(aRequest) && RetryInstead(aId, aRequest, aNow)) {
+    const bool otherRuns = aRequest.attempts.size() > 1;
+    if (failed && IsSafe(aRequest) &&
+        (otherRuns || RetryInstead(aId, aRequest, aNow))) {
       m_upstreams.Cancel(aEvent.id);
       return;
     }
@@ -1002,7 +1014,9 @@
     WorkReport report;
     const bool broke = !aEvent.whole && aEvent.error != "cancelled" &&
                        !aEvent.caller_fault && !aEvent.stale;
-    if (aAttempt.shed) {
+    if (aAttempt.moved) {
+      report.bad = kMovedEvidence;
+    } else if (aAttempt.shed) {
       report.shed = 1;
     } else if (aAttempt.failed || broke || aAttempt.stalled) {
       report.bad = aAttempt.stalled ? 0 : 1; // A stall was told before.
--- a/src/sapphirelane/proxy/pending_request.h
+++ b/src/sapphirelane/proxy/pending_request.h
@@ -30,6 +30,7 @@
   bool stalled = false; ///< Reported as stalled.
   bool headed = false;  ///< Its head has come.
   bool failed = false;  ///< Its head says so.
+  bool moved = false;   ///< Another endpoint has the address.
   bool shed = false;    ///< The upstream said that it did not run it.
 };
 
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -71,6 +71,9 @@
     } else if (returns || restarted) {
       state.since = aNow;
     }
+    if (restarted || state.endpoint.address != endpoint.address) {
+      state.moved = false;
+    }
     if (restarted) {
       m_ejector->Reset(id);
       state.latency = Duration(0);
@@ -107,7 +110,7 @@
 bool
 ServiceState::MayChoose(const EndpointState& aState) const
 {
-  return aState.in_subset && Room(aState) > 0 &&
+  return aState.in_subset && !aState.moved && Room(aState) > 0 &&
          aState.endpoint.state == LifeState::InService &&
          !m_ejector->IsEjected(aState.endpoint.id);
 }
@@ -227,7 +230,7 @@
   double ahead = static_cast<double>(aWaiting);
   for (const auto& entry : m_endpoints) {
     const EndpointState& state = entry.second;
-    if (state.endpoint.state == LifeState::InService) {
+    if (state.endpoint.state == LifeState::InService && !state.moved) {
       slots += state.endpoint.slots;
       ahead += state.in_flight + state.others_in_flight;
     }
@@ -267,6 +270,15 @@
   aState.latency_time = aNow;
 }
 
+void
+ServiceState::NoteMoved(const std::string& aEndpoint)
+{
+  auto found = m_endpoints.find(aEndpoint);
+  if (found != m_endpoints.end()) {
+    found->second.moved = true;
+  }
+}
+
 void
 ServiceState::Report(const std::string& aEndpoint, double aLoad, TimePoint aNow)
 {
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -157,7 +157,7 @@
     head.method = aMethod;
     head.target = aTarget;
     head.headers = std::move(aHeaders);
-    head.headers.emplace_back("X-Api-Key", m_key);
+    head.headers.emplace_back(m_keyHeader, m_key);
     head.arrived = m_now;
     Write("> " + aMethod + " " + aTarget);
     auto exchange = std::make_shared<Exchange>(head, 65536);
@@ -253,6 +253,7 @@
     CHECK(m_text == golden.str());
   }
 
+  std::string m_keyHeader = "X-Api-Key";
   std::string m_key = "the key";
   std::string m_text;
   TimePoint m_now{ std::chrono::hours(100) };
@@ -478,5 +479,127 @@
   CHECK(Outcome(queued) == "not-run");
 }
 
+/// A session in the dialect of a platform that names endpoints and instances.
+class PlatformSessionFixture : public SessionFixture
+{
+protected:
+  PlatformSessionFixture()
+  {
+    m_keyHeader = "Key";
+    DispatcherOptions options;
+    options.dialect.request_id = "Id";
+    options.dialect.caller_names_requests = true;
+    options.dialect.key = "Key";
+    options.dialect.not_run = "Not-Run";
+    options.dialect.not_run_value = "";
+    options.dialect.not_run_status = 0;
+    options.dialect.other_endpoint_status = 421;
+    options.dialect.expected_endpoint = "Expected";
+    options.dialect.receipt = "Receipt";
+    options.policies.retry = "fixed-attempts";
+    m_control.config.routes["read"].attempts = 2;
+    m_dispatcher = MakeDispatcher(options, m_control, m_upstreams, *m_metrics);
+  }
+
+  ExchangePtr Ask(const std::string& aMethod, const std::string& aTarget)
+  {
+    return Send(aMethod, aTarget, { { "Id", "r1" } });
+  }
+};
+
+TEST_CASE_METHOD(PlatformSessionFixture,
+                 "Dispatcher, hedge fails while the first attempt runs, waits "
+                 "for the first")
+{
+  for (int i = 0; i < 60; ++i) {
+    const auto attempt = m_upstreams.orders.size() + 1;
+    Ask("GET", "/read/warm");
+    m_now += Milliseconds(10);
+    Head(attempt, 200, { { "Receipt", "x" } });
+    End(attempt, true);
+  }
+  const auto first = m_upstreams.orders.size() + 1;
+  auto read = Ask("GET", "/read/slow");
+  Pass(Milliseconds(60));
+  REQUIRE(m_upstreams.orders.size() == first + 1);
+  Head(first + 1, 500, { { "Receipt", "x" } });
+  End(first + 1, true);
+  CHECK(Status(read) == 0);
+  Head(first, 200, { { "Receipt", "x" } });
+  CHECK(Status(read) == 200);
+}
+
+TEST_CASE_METHOD(PlatformSessionFixture,
+                 "Dispatcher, another endpoint at the address, gets no more "
+                 "work there")
+{
+  Ask("POST", "/plain/1");
+  const std::string moved = m_upstreams.orders[0].endpoint;
+  Head(1, 421);
+  End(1, true);
+  for (int i = 0; i < 4; ++i) {
+    Ask("POST", "/plain/1");
+  }
+  for (std::size_t i = 1; i < m_upstreams.orders.size(); ++i) {
+    CHECK(m_upstreams.orders[i].endpoint != moved);
+  }
+}
+
+TEST_CASE_METHOD(PlatformSessionFixture,
+                 "Dispatcher, success without a receipt, is not passed on")
+{
+  auto plain = Ask("POST", "/plain/1");
+  Head(1, 200);
+  CHECK(Status(plain) == 502);
+  CHECK(Outcome(plain) == "unknown");
+}
+
+TEST_CASE_METHOD(PlatformSessionFixture,
+                 "Dispatcher, status that promises not run without the "
+                 "endpoint's word, is not passed on")
+{
+  for (const int status : { 408, 429, 503 }) {
+    auto plain = Ask("POST", "/plain/1");
+    Head(m_upstreams.orders.size(), status, { { "Receipt", "x" } });
+    CHECK(Status(plain) == 502);
+  }
+}
+
+TEST_CASE_METHOD(PlatformSessionFixture,
+                 "Dispatcher, request named by its caller, is sent under that "
+                 "name to the endpoint that is meant, without its key")
+{
+  Ask("GET", "/read/1");
+  const AttemptOrder& order = m_upstreams.orders.at(0);
+  CHECK(*FindHeader(order.headers, "Id") == "r1");
+  CHECK(*FindHeader(order.headers, "Expected") == order.endpoint);
+  CHECK(FindHeader(order.headers, "Key") == nullptr);
+  CHECK(order.echo == "r1");
+}
+
+TEST_CASE_METHOD(PlatformSessionFixture,
+                 "Dispatcher, route that allows two endpoints, sends a failed "
+                 "read to no third")
+{
+  auto read = Ask("GET", "/read/1");
+  Head(1, 500, { { "Receipt", "x" } });
+  End(1, true);
+  Head(2, 500, { { "Receipt", "x" } });
+  End(2, true);
+  CHECK(m_upstreams.orders.size() == 2);
+  CHECK(Status(read) == 500);
+}
+
+TEST_CASE_METHOD(PlatformSessionFixture,
+                 "Dispatcher, endpoint that cannot be reached, costs no "
+                 "attempt")
+{
+  m_control.config.routes["read"].attempts = 1;
+  m_control.config.version = 2;
+  Ask("GET", "/read/1");
+  End(1, false, false, "no connection in time");
+  CHECK(m_upstreams.orders.size() == 2);
+}
+
 } // namespace
 } // namespace sapphirelane
