Give neglected endpoints work while many requests of a service fail

Ruled out: a bonus for idle endpoints at all times (each trial of a recovering endpoint fails with a fifth, and no rule asks for it while work is served). Change: daemons tell each other how many requests ended and how many unserved; above 5% in 2 s, endpoints without work for 1.2 s come first until 85% are in use.

--- a/include/sapphirelane/config/fleet.h
+++ b/include/sapphirelane/config/fleet.h
@@ -86,8 +86,8 @@
 struct Account
 {
   std::string id;
-  double rate = 1;  ///< Requests a second; 0 for no limit.
-  double burst = 1; ///< Requests.
+  double rate = 1;                       ///< Requests a second; 0 for no limit.
+  double burst = 1;                      ///< Requests.
   std::optional<std::uint32_t> priority; ///< Goes before the route's.
 };
 
--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -72,7 +72,7 @@
   std::string data_centre;
   ListenSettings listen;
   PlatformSettings platform;
-  std::vector<std::string> seeds; ///< Peer addresses, "ip:port".
+  std::vector<std::string> seeds;   ///< Peer addresses, "ip:port".
   bool seeds_use_peer_port = false; ///< Only the seeds' IP numbers count.
   std::string fleet_secret;
   std::string operator_digest; ///< Digest of the operators' credential.
--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -129,6 +129,19 @@
   /// @brief Tells the fleet how work on an endpoint stands.
   virtual void ShareWork(const WorkReport& /*aReport*/, TimePoint /*aNow*/) {}
 
+  /// @brief Notes that a request of a service has its answer.
+  virtual void NoteOutcome(const std::string& /*aService*/,
+                           bool /*aServed*/,
+                           TimePoint /*aNow*/)
+  {
+  }
+
+  /// @brief Share of a service's requests that the fleet did not serve, lately.
+  virtual double Shortfall(const std::string& /*aService*/, TimePoint /*aNow*/)
+  {
+    return 0;
+  }
+
   /// @brief Asks for one attempt beyond the first from the service's budget,
   /// which the whole fleet shares, and spends it if it is given.
   virtual bool TakeExtra(const std::string& /*aService*/, TimePoint /*aNow*/)
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -17,10 +17,11 @@
 /// @brief What is to be placed.
 struct PlaceRequest
 {
-  bool may_try = false;        ///< May serve as a trial of an ejected endpoint.
-  bool repeatable = false;     ///< A failure can be mended by another attempt.
+  bool may_try = false;    ///< May serve as a trial of an ejected endpoint.
+  bool repeatable = false; ///< A failure can be mended by another attempt.
   std::uint64_t body_bytes = 0;
-  Duration target{ 0 };        ///< Latency aimed at; 0 for none.
+  Duration target{ 0 };           ///< Latency aimed at; 0 for none.
+  bool spread = false;            ///< Neglected endpoints come first.
   std::vector<std::string> avoid; ///< Endpoints that it was sent to before.
 };
 
@@ -66,7 +67,7 @@
   std::size_t FreeSlots() const;
 
   /// @brief Notes an attempt's start and end.
-  void Begin(const std::string& aEndpoint);
+  void Begin(const std::string& aEndpoint, TimePoint aNow);
   void End(const std::string& aEndpoint);
 
   /// @brief Requests of this daemon at an endpoint.
@@ -123,12 +124,16 @@
     TimePoint latency_time{};
     TimePoint since{};
     TimePoint cold_until{};
+    TimePoint used{}; ///< When any daemon last had work there.
     bool in_subset = true;
     bool moved = false;
     bool trial_running = false;
     EndpointEvidence evidence;
   };
 
+  std::optional<std::size_t> Neglected(
+    const std::vector<Candidate>& aCandidates,
+    TimePoint aNow) const;
   std::uint32_t Room(const EndpointState& aState) const;
   bool MayChoose(const EndpointState& aState) const;
   Candidate CandidateOf(const EndpointState& aState,
--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -49,7 +49,7 @@
   bool whole = false;        ///< With End: the answer came whole.
   bool sent = true;          ///< With End: a byte may have left.
   bool caller_fault = false; ///< With End: the caller broke its body off.
-  bool stale = false; ///< With End: a kept connection proved to be dead.
+  bool stale = false;        ///< With End: a kept connection proved to be dead.
   std::string error;         ///< With End, if not whole.
   std::string kept_body;     ///< With End: the body, if small enough.
   bool body_kept = false;    ///< With End: kept_body is the whole body.
--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -16,7 +16,7 @@
 /// @brief Options of the book.
 struct PeerBookOptions
 {
-  Duration live_for = Milliseconds(1600); ///< Since it was last heard.
+  Duration live_for = Milliseconds(1600);     ///< Since it was last heard.
   Duration counted_for = Milliseconds(20000); ///< A silent one is missed.
   Duration forgotten_after = Milliseconds(120000);
 };
@@ -82,9 +82,9 @@
   {
     MemberInfo info;
     std::uint64_t started_ms = 0;
-    TimePoint heard{};    ///< Itself, or a live neighbour of it.
-    TimePoint direct{};   ///< Itself.
-    TimePoint listed{};   ///< By the store, while it was never heard.
+    TimePoint heard{};  ///< Itself, or a live neighbour of it.
+    TimePoint direct{}; ///< Itself.
+    TimePoint listed{}; ///< By the store, while it was never heard.
     bool leaving = false;
   };
 
--- a/include/sapphirelane/relay/store_fleet.h
+++ b/include/sapphirelane/relay/store_fleet.h
@@ -39,7 +39,7 @@
 struct StoreFleetOptions
 {
   MemberInfo self;
-  std::uint64_t started_ms = 0; ///< Wall clock at the start of this run.
+  std::uint64_t started_ms = 0;   ///< Wall clock at the start of this run.
   std::vector<std::string> seeds; ///< Peers' addresses, perhaps stale.
   FleetViewOptions view;
   ReadPacerOptions pacer;
--- a/include/sapphirelane/relay/work_board.h
+++ b/include/sapphirelane/relay/work_board.h
@@ -41,6 +41,7 @@
 
   /// @brief Notes this daemon's own work.
   void NoteOwn(const WorkReport& aReport);
+  void NoteOutcome(const std::string& aService, bool aServed);
   void NoteSpent(const std::string& aAccount, std::int32_t aCount);
 
   /// @brief Tells whether there is anything to tell.
--- a/include/sapphirelane/routing/balancer.h
+++ b/include/sapphirelane/routing/balancer.h
@@ -18,17 +18,17 @@
 {
   std::string id;
   std::uint32_t slots = 1;
-  std::uint32_t in_flight = 0;  ///< Requests of this daemon.
+  std::uint32_t in_flight = 0;        ///< Requests of this daemon.
   std::uint32_t others_in_flight = 0; ///< Requests of other daemons.
-  double reported_load = 0;     ///< Share of slots in use, as reported.
-  Duration report_age{ 0 };     ///< Age of the report.
-  Duration latency{ 0 };        ///< Smoothed time to the first byte.
-  Duration in_service_for{ 0 }; ///< Since the endpoint became eligible.
-  Duration target{ 0 };         ///< Latency aimed at; 0 for none.
-  double failure = 0;           ///< Probability that it fails the request.
-  double failure_cost = 0;      ///< What a failure loses, in requests.
-  double transfer_cost = 0;     ///< Of sending it there, in requests.
-  bool cold = false;            ///< Works slowly, as it has just started.
+  double reported_load = 0;           ///< Share of slots in use, as reported.
+  Duration report_age{ 0 };           ///< Age of the report.
+  Duration latency{ 0 };              ///< Smoothed time to the first byte.
+  Duration in_service_for{ 0 };       ///< Since the endpoint became eligible.
+  Duration target{ 0 };               ///< Latency aimed at; 0 for none.
+  double failure = 0;       ///< Probability that it fails the request.
+  double failure_cost = 0;  ///< What a failure loses, in requests.
+  double transfer_cost = 0; ///< Of sending it there, in requests.
+  bool cold = false;        ///< Works slowly, as it has just started.
 };
 
 /// @brief Chooses the endpoint of one attempt.
--- a/include/sapphirelane/routing/ejector.h
+++ b/include/sapphirelane/routing/ejector.h
@@ -129,7 +129,7 @@
   Duration first_sound = Milliseconds(20000); ///< Between spells, assumed.
   Duration least_sound = Milliseconds(2000);
   Duration most_sound = Milliseconds(600000);
-  double sick_failure = 0.7;   ///< Share of requests failed in a spell, assumed.
+  double sick_failure = 0.7; ///< Share of requests failed in a spell, assumed.
   double sound_failure = 0.02; ///< Share of requests failed otherwise, assumed.
   double shed_weight = 0.5;    ///< Weight of a shed request as a failure.
   double stall_factor = 5;     ///< Stall threshold in service latencies.
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -393,7 +393,8 @@
 struct PresenceNews
 {
   MemberInfo self;
-  std::uint64_t started_ms = 0; ///< Wall clock; the newest run of a host counts.
+  std::uint64_t started_ms =
+    0; ///< Wall clock; the newest run of a host counts.
   bool leaving = false;
   std::vector<std::uint32_t> neighbours; ///< Hashes of hosts it hears.
 
@@ -434,17 +435,19 @@
   }
 };
 
-/// @brief First and further attempts that a daemon has made since its start.
+/// @brief What a daemon has done for a service since its start.
 struct ServiceWork
 {
-  std::uint32_t service = 0; ///< Hash of its id.
-  std::uint32_t requests = 0;
-  std::uint32_t extras = 0;
+  std::uint32_t service = 0;  ///< Hash of its id.
+  std::uint32_t requests = 0; ///< First attempts.
+  std::uint32_t extras = 0;   ///< Further attempts.
+  std::uint32_t ended = 0;    ///< Requests that have their answer.
+  std::uint32_t unserved = 0; ///< Those of them without a success.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(service, requests, extras);
+    aArchive(service, requests, extras, ended, unserved);
   }
 };
 
@@ -684,9 +687,9 @@
 /// @brief Answers a FetchView.
 struct ViewReply
 {
-  bool known = false;        ///< The daemon has a view.
-  std::uint32_t age_ms = 0;  ///< Since the store was asked.
-  std::uint64_t version = 0; ///< Of the endpoints.
+  bool known = false;                  ///< The daemon has a view.
+  std::uint32_t age_ms = 0;            ///< Since the store was asked.
+  std::uint64_t version = 0;           ///< Of the endpoints.
   std::vector<WireEndpoint> endpoints; ///< All of them.
   std::string config; ///< See EncodeFleet; empty if the asker has it.
 
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -102,10 +102,8 @@
   aReader.Read("idle_ms", aLimits.idle, Milliseconds(1000), kOneHour);
   aReader.Read(
     "dedup_window_ms", aLimits.dedup_window, Milliseconds(1000), kOneDay);
-  aReader.Read("connect_timeout_ms",
-               aLimits.connect_timeout,
-               Milliseconds(10),
-               kOneHour);
+  aReader.Read(
+    "connect_timeout_ms", aLimits.connect_timeout, Milliseconds(10), kOneHour);
   aReader.Finish();
 }
 
@@ -151,10 +149,8 @@
   }
   aReader.Read("log", settings.log);
   aReader.Read("drain_ms", settings.drain, Milliseconds(0), kOneHour);
-  aReader.Read("balancer_notice_ms",
-               settings.balancer_notice,
-               Milliseconds(0),
-               kOneHour);
+  aReader.Read(
+    "balancer_notice_ms", settings.balancer_notice, Milliseconds(0), kOneHour);
   ReadExtras(aReader.Map("extras"), settings.extras);
   ReadLimits(aReader.Map("limits"), settings.limits);
   ReadPolicies(aReader.Map("policies"), settings.policies);
--- a/src/sapphirelane/programs/entry.cpp
+++ b/src/sapphirelane/programs/entry.cpp
@@ -31,9 +31,9 @@
                           "The settings were read again; what has changed in "
                           "them takes effect at the next start.");
   } catch (const sapphirelane::ConfigError& error) {
-    sapphirelane::LogLine(
-      "entry",
-      std::string("The settings on file are not sound: ") + error.what());
+    sapphirelane::LogLine("entry",
+                          std::string("The settings on file are not sound: ") +
+                            error.what());
   }
 }
 
--- a/src/sapphirelane/proxy/caller_front.cpp
+++ b/src/sapphirelane/proxy/caller_front.cpp
@@ -116,8 +116,8 @@
   void Listen()
   {
     boost::system::error_code error;
-    const tcp::endpoint place(
-      asio::ip::make_address(m_options.address, error), m_options.port);
+    const tcp::endpoint place(asio::ip::make_address(m_options.address, error),
+                              m_options.port);
     if (!error) {
       m_acceptor.open(place.protocol(), error);
     }
--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -61,8 +61,7 @@
 std::string
 ReasonOf(int aStatus)
 {
-  return std::string(
-    http::obsolete_reason(static_cast<http::status>(aStatus)));
+  return std::string(http::obsolete_reason(static_cast<http::status>(aStatus)));
 }
 
 } // namespace
@@ -177,9 +176,9 @@
   const auto bytes = m_input.data();
   const HeadScan scan =
     ScanHead({ static_cast<const char*>(bytes.data()), bytes.size() });
-  const bool large = scan.size > m_context.limits.head_bytes ||
-                     (scan.size == 0 &&
-                      bytes.size() > m_context.limits.head_bytes);
+  const bool large =
+    scan.size > m_context.limits.head_bytes ||
+    (scan.size == 0 && bytes.size() > m_context.limits.head_bytes);
   if (large) {
     RefuseBytes(431, "the head is above the limit");
     return false;
@@ -257,11 +256,11 @@
   aHead.arrived = Clock::now();
   auto turn = std::make_shared<Turn>();
   turn->bodyless = aHead.method == "HEAD";
-  turn->exchange = std::make_shared<Exchange>(std::move(aHead),
-                                              m_context.limits.buffer_bytes);
+  turn->exchange =
+    std::make_shared<Exchange>(std::move(aHead), m_context.limits.buffer_bytes);
   const auto executor = m_socket.get_executor();
-  turn->exchange->SetPort(std::make_unique<SessionPort>(
-    [executor, weak = weak_from_this()] {
+  turn->exchange->SetPort(
+    std::make_unique<SessionPort>([executor, weak = weak_from_this()] {
       boost::asio::post(executor, [weak] {
         if (auto self = weak.lock()) {
           self->Parse(); // Goes on with the body as well as with the answer.
@@ -303,12 +302,10 @@
     return false;
   }
   if (m_bodyBytes > m_context.limits.body_bytes) {
-    Refuse(*m_incoming->exchange,
-           { 413,
-             Outcome::Unknown,
-             "too-large",
-             "the body grew above the limit" },
-           m_context.dialect);
+    Refuse(
+      *m_incoming->exchange,
+      { 413, Outcome::Unknown, "too-large", "the body grew above the limit" },
+      m_context.dialect);
     m_incoming->exchange->CallerBreak();
     m_incoming->closes = true;
     m_endsInput = true;
@@ -455,10 +452,9 @@
   boost::asio::async_write(
     m_socket,
     boost::asio::buffer(m_output),
-    [self = shared_from_this(), aTurnDone](
-      const boost::system::error_code& aError, std::size_t /*aSize*/) {
-      self->OnWritten(aError, aTurnDone);
-    });
+    [self = shared_from_this(),
+     aTurnDone](const boost::system::error_code& aError,
+                std::size_t /*aSize*/) { self->OnWritten(aError, aTurnDone); });
 }
 
 void
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -32,8 +32,8 @@
   SessionLimits limits;
   HttpDialect dialect;
   std::uint64_t next_request = 1;
-  bool closing = false;   ///< Each answer ends its connection.
-  std::size_t open = 0;   ///< Requests whose answer is not handed over whole.
+  bool closing = false; ///< Each answer ends its connection.
+  std::size_t open = 0; ///< Requests whose answer is not handed over whole.
   std::function<bool(ExchangePtr)> on_request;
 };
 
@@ -107,8 +107,8 @@
   SessionContext& m_context;
   boost::beast::flat_buffer m_input;
   std::optional<Parser> m_parser;
-  TurnPtr m_incoming;        ///< Whose request's body is being read.
-  std::string m_body;        ///< Decoded, not taken by the exchange yet.
+  TurnPtr m_incoming; ///< Whose request's body is being read.
+  std::string m_body; ///< Decoded, not taken by the exchange yet.
   std::uint64_t m_bodyBytes = 0;
   std::deque<TurnPtr> m_turns;
   std::string m_output;
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -39,6 +39,10 @@
 /// enough for others to avoid it for as long as a spell lasts.
 constexpr std::uint32_t kMovedEvidence = 3;
 
+/// Share of a service's requests that may fail before neglected endpoints get
+/// work: half of the tenth from which the floor is judged.
+constexpr double kMostShortfall = 0.05;
+
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
@@ -91,6 +95,9 @@
     auto refusal = m_gate.Admit(request, m_requests.size(), aNow);
     if (refusal) {
       RefuseUnheld(request, *refusal);
+      if (!request.service.empty()) {
+        m_control.NoteOutcome(request.service, false, aNow);
+      }
       return;
     }
     request.service = ChooseService(request.route);
@@ -486,6 +493,8 @@
     place.body_bytes = aRequest.head.length.value_or(0);
     place.target = aRequest.route.target;
     place.avoid = aRequest.tried;
+    place.spread = place.may_try &&
+                   m_control.Shortfall(aRequest.service, aNow) > kMostShortfall;
     const auto placed = service.state->Place(place, aNow, m_random);
     if (!placed) {
       return false;
@@ -495,7 +504,7 @@
     attempt.endpoint = placed->endpoint;
     attempt.started = aNow;
     attempt.trial = placed->trial;
-    service.state->Begin(placed->endpoint);
+    service.state->Begin(placed->endpoint, aNow);
     aRequest.attempts.push_back(attempt);
     aRequest.tried.push_back(placed->endpoint);
     ++aRequest.attempts_made;
@@ -702,9 +711,8 @@
   {
     aAttempt.shed = true;
     ServiceState& state = *m_services.At(aRequest.service).state;
-    state.Observe(aAttempt.endpoint,
-                  { WorkResult::Shed, aNow - aAttempt.started },
-                  aNow);
+    state.Observe(
+      aAttempt.endpoint, { WorkResult::Shed, aNow - aAttempt.started }, aNow);
     Log(aId, "route", "was shed by " + aAttempt.endpoint);
     m_metrics.Count("sheds_total", { { "service", aRequest.service } });
     // The attempt must have ended before its body is read once more.
@@ -1089,6 +1097,9 @@
       report.bad = attempt.failed ? 1 : 0;
       ShareWork(request, attempt.endpoint, report, aNow);
     }
+    const bool served = request.stage == Stage::Answering &&
+                        request.answer_status < kFirstRedirect;
+    m_control.NoteOutcome(request.service, served, aNow);
     Unreserve(request);
     const bool unused = request.attempts_made == 0 && request.token != 0;
     if (unused && request.token_until > TimePoint{}) {
--- a/src/sapphirelane/proxy/http.cpp
+++ b/src/sapphirelane/proxy/http.cpp
@@ -226,8 +226,7 @@
                        absl::SimpleAtoi(values[0], &number) && number > 0 &&
                        number <= kMostDeadlineMs;
     if (!valid) {
-      Refuse(m_dialect.deadline +
-             " is not a whole number from 1 to 600000");
+      Refuse(m_dialect.deadline + " is not a whole number from 1 to 600000");
       return;
     }
     m_checked.deadline = Milliseconds(number);
@@ -322,8 +321,8 @@
   if (other) {
     return true;
   }
-  const bool status = aDialect.not_run_status == 0 ||
-                      aHead.status == aDialect.not_run_status;
+  const bool status =
+    aDialect.not_run_status == 0 || aHead.status == aDialect.not_run_status;
   const std::string* value = FindHeader(aHead.headers, aDialect.not_run);
   return status && value != nullptr &&
          (aDialect.not_run_value.empty() || *value == aDialect.not_run_value);
--- a/src/sapphirelane/proxy/http_test.cpp
+++ b/src/sapphirelane/proxy/http_test.cpp
@@ -101,7 +101,8 @@
 
 TEST_CASE_METHOD(HeadFixture, "CheckHead, malformed deadline, refuses")
 {
-  CHECK(Check({ { HttpDialect{}.deadline, "250" } }).deadline == Milliseconds(250));
+  CHECK(Check({ { HttpDialect{}.deadline, "250" } }).deadline ==
+        Milliseconds(250));
   for (const char* text : { "0", "-1", "x", "600001", "" }) {
     CHECK_FALSE(Check({ { HttpDialect{}.deadline, text } }).fault.empty());
   }
@@ -111,8 +112,8 @@
 {
   CHECK(Check({ { HttpDialect{}.idempotency, "abc" } }).idempotency == "abc");
   CHECK_FALSE(Check({ { HttpDialect{}.idempotency, "a b" } }).fault.empty());
-  CHECK_FALSE(
-    Check({ { HttpDialect{}.idempotency, std::string(129, 'a') } }).fault.empty());
+  CHECK_FALSE(Check({ { HttpDialect{}.idempotency, std::string(129, 'a') } })
+                .fault.empty());
 }
 
 TEST_CASE_METHOD(HeadFixture, "ParseLoad, malformed reports, gives nothing")
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -26,6 +26,14 @@
 /// What a failure loses of a request that can be repeated: a later answer.
 constexpr double kRepeatableCost = 0.3;
 
+/// Time without work after which an endpoint is neglected: the floor is judged
+/// over 2 s, and the work has to reach the endpoint within them.
+constexpr Milliseconds kNeglectedAfter{ 1200 };
+
+/// Share of endpoints that get work while many requests fail: the floor of 0.7
+/// and a margin for endpoints that are not counted as sound.
+constexpr double kLeastUsedShare = 0.85;
+
 /// Connections that one host may need while a pool is being renewed.
 constexpr std::size_t kPoolsOfHost = 1;
 
@@ -156,7 +164,8 @@
   std::vector<Candidate> candidates;
   std::vector<Candidate> avoided;
   for (auto& [id, state] : m_endpoints) {
-    const bool tries = aRequest.may_try && !state.trial_running && state.in_subset &&
+    const bool tries = aRequest.may_try && !state.trial_running &&
+                       state.in_subset &&
                        state.endpoint.state == LifeState::InService &&
                        m_ejector->WantsTrial(id, aNow);
     if (tries) {
@@ -166,14 +175,16 @@
     if (!MayChoose(state)) {
       continue;
     }
-    const bool used = std::find(aRequest.avoid.begin(),
-                                aRequest.avoid.end(),
-                                id) != aRequest.avoid.end();
-    (used ? avoided : candidates)
-      .push_back(CandidateOf(state, aRequest, aNow));
+    const bool used =
+      std::find(aRequest.avoid.begin(), aRequest.avoid.end(), id) !=
+      aRequest.avoid.end();
+    (used ? avoided : candidates).push_back(CandidateOf(state, aRequest, aNow));
   }
   const auto& choice = candidates.empty() ? avoided : candidates;
-  const auto index = m_balancer->Pick(choice, aNow, aRandom);
+  const auto neglected =
+    aRequest.spread ? Neglected(choice, aNow) : std::nullopt;
+  const auto index =
+    neglected ? neglected : m_balancer->Pick(choice, aNow, aRandom);
   if (!index) {
     return std::nullopt;
   }
@@ -181,7 +192,41 @@
   return Placement{ state.endpoint.id,
                     state.endpoint.address,
                     false,
-                    "least cost of " + std::to_string(choice.size()) };
+                    (neglected ? "neglected, one of " : "least cost of ") +
+                      std::to_string(choice.size()) };
+}
+
+/// While many requests of the service fail, no more than a share of its
+/// endpoints may go without work. Picks the one least likely to fail.
+std::optional<std::size_t>
+ServiceState::Neglected(const std::vector<Candidate>& aCandidates,
+                        TimePoint aNow) const
+{
+  std::size_t all = 0;
+  std::size_t idle = 0;
+  const auto isIdle = [&](const EndpointState& aState) {
+    return aNow - aState.used > kNeglectedAfter;
+  };
+  for (const auto& entry : m_endpoints) {
+    const EndpointState& state = entry.second;
+    if (state.endpoint.state == LifeState::InService && !state.moved) {
+      ++all;
+      idle += isIdle(state) ? 1 : 0;
+    }
+  }
+  if (static_cast<double>(all - idle) >=
+      kLeastUsedShare * static_cast<double>(all)) {
+    return std::nullopt;
+  }
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const bool better =
+      !best || aCandidates[i].failure < aCandidates[*best].failure;
+    if (better && isIdle(m_endpoints.at(aCandidates[i].id))) {
+      best = i;
+    }
+  }
+  return best;
 }
 
 std::size_t
@@ -198,11 +243,12 @@
 }
 
 void
-ServiceState::Begin(const std::string& aEndpoint)
+ServiceState::Begin(const std::string& aEndpoint, TimePoint aNow)
 {
   auto found = m_endpoints.find(aEndpoint);
   if (found != m_endpoints.end()) {
     ++found->second.in_flight;
+    found->second.used = aNow;
   }
 }
 
@@ -321,6 +367,7 @@
     if (one.in_flight) {
       state.others_in_flight = *one.in_flight;
     }
+    state.used = aNow;
     const Observation good{ WorkResult::Answered,
                             one.answer_time,
                             one.answered };
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -208,7 +208,8 @@
       Write("< nothing yet");
       return;
     }
-    const std::string* outcome = FindHeader(head->headers, HttpDialect{}.outcome);
+    const std::string* outcome =
+      FindHeader(head->headers, HttpDialect{}.outcome);
     std::string line = "< " + std::to_string(head->status);
     if (outcome != nullptr) {
       line += " " + *outcome;
--- a/src/sapphirelane/proxy/store_fleet_runtime.cpp
+++ b/src/sapphirelane/proxy/store_fleet_runtime.cpp
@@ -20,18 +20,18 @@
   options.self.id = RandomBits() | 1U;
   options.self.host = aSettings.host;
   options.self.data_centre = aSettings.data_centre;
-  options.self.address = aSettings.listen.address + ":" +
-                         std::to_string(aSettings.listen.peers);
+  options.self.address =
+    aSettings.listen.address + ":" + std::to_string(aSettings.listen.peers);
   options.started_ms = static_cast<std::uint64_t>(
     std::chrono::duration_cast<Milliseconds>(
       std::chrono::system_clock::now().time_since_epoch())
       .count());
   for (const std::string& seed : aSettings.seeds) {
     const std::string ip = seed.substr(0, seed.rfind(':'));
-    options.seeds.push_back(
-      aSettings.seeds_use_peer_port
-        ? ip + ":" + std::to_string(aSettings.listen.peers)
-        : seed);
+    options.seeds.push_back(aSettings.seeds_use_peer_port
+                              ? ip + ":" +
+                                  std::to_string(aSettings.listen.peers)
+                              : seed);
   }
   options.extras.share = aSettings.extras.share;
   options.extras.slack = aSettings.extras.slack;
@@ -61,9 +61,7 @@
     link.self = options.self.id;
     MakeLinks(link, aMetrics);
     m_sourceOwned = MakeSourceDuty(
-      std::move(aSource),
-      aMetrics,
-      [this](SourceResult aResult) {
+      std::move(aSource), aMetrics, [this](SourceResult aResult) {
         m_dispatch.PostWaiting(
           [this, result = std::move(aResult)](TimePoint aNow) {
             m_fleet->OnSource(result, aNow);
@@ -95,9 +93,8 @@
   {
     const StoreFleetStatus status = m_fleet->Status(aNow);
     const bool known = status.view_age != Duration::max();
-    aMetrics.Set("view_age_seconds",
-                 {},
-                 known ? ToSeconds(status.view_age) : -1);
+    aMetrics.Set(
+      "view_age_seconds", {}, known ? ToSeconds(status.view_age) : -1);
     aMetrics.Set("endpoints", {}, static_cast<double>(status.endpoints));
     aMetrics.Set("members", {}, static_cast<double>(status.live));
     aMetrics.Set("members_counted", {}, static_cast<double>(status.counted));
@@ -110,8 +107,8 @@
   OperatorReply HandleOperator(const OperatorCall& aCall) override
   {
     if (aCall.path != "/v1/status") {
-      return FaultReply(
-        404, "the store that configures this fleet answers that");
+      return FaultReply(404,
+                        "the store that configures this fleet answers that");
     }
     const StoreFleetStatus status = m_dispatch.Call<StoreFleetStatus>(
       [this](TimePoint aNow) { return m_fleet->Status(aNow); });
@@ -166,11 +163,9 @@
       aMetrics,
       [this](NodeId /*aFrom*/, std::string aAddress, PeerMessage aMessage) {
         // A full ring drops the datagram, as a network might.
-        m_dispatch.Post([this,
-                         address = std::move(aAddress),
-                         message = std::move(aMessage)](TimePoint aNow) {
-          m_fleet->OnMessage(address, message, aNow);
-        });
+        m_dispatch.Post(
+          [this, address = std::move(aAddress), message = std::move(aMessage)](
+            TimePoint aNow) { m_fleet->OnMessage(address, message, aNow); });
       });
     m_datagrams = m_datagramsOwned.get();
     m_serverOwned = MakeBulkServer(
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -224,12 +224,12 @@
     return;
   }
   m_writing = true;
-  asio::async_write(m_connection->socket,
-                    asio::buffer(m_output),
-                    [self = shared_from_this()](const Error& aError,
-                                                std::size_t /*aSize*/) {
-                      self->OnSent(aError);
-                    });
+  asio::async_write(
+    m_connection->socket,
+    asio::buffer(m_output),
+    [self = shared_from_this()](const Error& aError, std::size_t /*aSize*/) {
+      self->OnSent(aError);
+    });
 }
 
 /// Adds what the caller has sent to the output.
@@ -292,10 +292,8 @@
   m_reading = true;
   m_connection->socket.async_read_some(
     m_connection->input.prepare(kBlock),
-    [self = shared_from_this(), connection = m_connection](const Error& aError,
-                                                           std::size_t aSize) {
-      self->OnRead(aError, aSize);
-    });
+    [self = shared_from_this(), connection = m_connection](
+      const Error& aError, std::size_t aSize) { self->OnRead(aError, aSize); });
 }
 
 void
@@ -370,8 +368,7 @@
   if (!hadHead && m_parser->is_header_done()) {
     OnAnswerHead();
   }
-  const std::string body =
-    std::exchange(m_parser->get().body(), std::string());
+  const std::string body = std::exchange(m_parser->get().body(), std::string());
   if (m_headRead && !m_foreign) {
     m_held += body;
     m_keptWhole = m_keptWhole && m_kept.size() + body.size() <= kMostKeptBody;
@@ -401,10 +398,9 @@
   if (head.status < kFirstFinalStatus) {
     return;
   }
-  const std::string* echo =
-    m_order.echo_header.empty()
-      ? nullptr
-      : FindHeader(head.headers, m_order.echo_header);
+  const std::string* echo = m_order.echo_header.empty()
+                              ? nullptr
+                              : FindHeader(head.headers, m_order.echo_header);
   if (!m_order.echo.empty()) {
     // Later answers on this connection could not be told apart.
     m_mayKeep = m_mayKeep && echo != nullptr;
@@ -523,8 +519,8 @@
   event.whole = aWhole;
   event.sent = m_sent;
   event.caller_fault = m_callerBroke;
-  event.stale = !aWhole && m_connection != nullptr && m_connection->used &&
-                !m_anyAnswer;
+  event.stale =
+    !aWhole && m_connection != nullptr && m_connection->used && !m_anyAnswer;
   event.body_kept = aWhole && m_keptWhole;
   event.kept_body = event.body_kept ? m_kept : std::string();
   event.error = aError;
--- a/src/sapphirelane/relay/extra_budget.cpp
+++ b/src/sapphirelane/relay/extra_budget.cpp
@@ -18,13 +18,12 @@
 ExtraBudget::Now(Slices& aSlices, TimePoint aNow) const
 {
   // A slice counts until all of it has left the window.
-  while (!aSlices.empty() &&
-         aNow - aSlices.front().begun >
-           m_options.window + m_options.window / kSlices) {
+  while (!aSlices.empty() && aNow - aSlices.front().begun >
+                               m_options.window + m_options.window / kSlices) {
     aSlices.pop_front();
   }
-  const bool old = aSlices.empty() || aNow - aSlices.back().begun >=
-                                        m_options.window / kSlices;
+  const bool old = aSlices.empty() ||
+                   aNow - aSlices.back().begun >= m_options.window / kSlices;
   if (old) {
     aSlices.push_back({ aNow, 0, 0 });
   }
@@ -59,8 +58,7 @@
     extras += slice.extras;
   }
   const double budget =
-    (requests * m_options.share + m_options.slack * m_share) *
-    m_options.margin;
+    (requests * m_options.share + m_options.slack * m_share) * m_options.margin;
   if (extras + 1 > budget) {
     return false;
   }
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -76,15 +76,14 @@
   entry.version = aChange.version;
   entry.drop_at.reset();
   const Endpoint& next = *aChange.endpoint;
-  const bool same =
-    entry.endpoint && entry.endpoint->state == next.state &&
-    entry.endpoint->service == next.service &&
-    entry.endpoint->address == next.address &&
-    entry.endpoint->slots == next.slots &&
-    entry.endpoint->data_centre == next.data_centre &&
-    entry.endpoint->lifetime == next.lifetime &&
-    (entry.endpoint->cold > Milliseconds::zero()) ==
-      (next.cold > Milliseconds::zero());
+  const bool same = entry.endpoint && entry.endpoint->state == next.state &&
+                    entry.endpoint->service == next.service &&
+                    entry.endpoint->address == next.address &&
+                    entry.endpoint->slots == next.slots &&
+                    entry.endpoint->data_centre == next.data_centre &&
+                    entry.endpoint->lifetime == next.lifetime &&
+                    (entry.endpoint->cold > Milliseconds::zero()) ==
+                      (next.cold > Milliseconds::zero());
   entry.endpoint = next;
   return !same;
 }
@@ -97,8 +96,8 @@
   aEntry.version = aVersion;
   const bool leaving =
     aEntry.endpoint && aEntry.endpoint->state == LifeState::Leaving;
-  const bool returned = m_returned != TimePoint{} &&
-                        aNow - m_returned < m_options.hold_gone;
+  const bool returned =
+    m_returned != TimePoint{} && aNow - m_returned < m_options.hold_gone;
   if (aEntry.endpoint && returned && !leaving) {
     aEntry.drop_at = m_returned + m_options.hold_gone;
     return false;
--- a/src/sapphirelane/relay/peer_book.cpp
+++ b/src/sapphirelane/relay/peer_book.cpp
@@ -215,21 +215,19 @@
 std::size_t
 PeerBook::Live(TimePoint aNow) const
 {
-  return 1 +
-         static_cast<std::size_t>(std::count_if(
-           m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
-             return IsLive(aEntry.second, aNow);
-           }));
+  return 1 + static_cast<std::size_t>(std::count_if(
+               m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+                 return IsLive(aEntry.second, aNow);
+               }));
 }
 
 std::size_t
 PeerBook::Counted(TimePoint aNow) const
 {
-  return 1 +
-         static_cast<std::size_t>(std::count_if(
-           m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
-             return IsCounted(aEntry.second, aNow);
-           }));
+  return 1 + static_cast<std::size_t>(std::count_if(
+               m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+                 return IsCounted(aEntry.second, aNow);
+               }));
 }
 
 std::string
--- a/src/sapphirelane/relay/quota_ledger.cpp
+++ b/src/sapphirelane/relay/quota_ledger.cpp
@@ -43,17 +43,16 @@
 void
 QuotaLedger::SetHeard(std::size_t aLive, std::size_t aCounted)
 {
-  const double heard = static_cast<double>(aLive) /
-                       static_cast<double>(std::max(aLive, aCounted));
-  m_share = heard > kHalf ? std::min(1.0, heard + m_options.majority_extra)
-                          : heard;
+  const double heard =
+    static_cast<double>(aLive) / static_cast<double>(std::max(aLive, aCounted));
+  m_share =
+    heard > kHalf ? std::min(1.0, heard + m_options.majority_extra) : heard;
 }
 
 void
 QuotaLedger::Refill(Bucket& aBucket, TimePoint aNow) const
 {
-  const double gained =
-    ToSeconds(aNow - aBucket.time) * aBucket.rate * m_share;
+  const double gained = ToSeconds(aNow - aBucket.time) * aBucket.rate * m_share;
   const double most = std::max(1.0, aBucket.burst * m_share);
   aBucket.level =
     std::max(aBucket.level, std::min(most, aBucket.level + gained));
--- a/src/sapphirelane/relay/read_pacer.cpp
+++ b/src/sapphirelane/relay/read_pacer.cpp
@@ -47,8 +47,8 @@
     m_notBefore = TimePoint{};
     return;
   }
-  const double grown = ToSeconds(m_options.first_retry) *
-                       std::pow(kRetryGrowth, m_failures);
+  const double grown =
+    ToSeconds(m_options.first_retry) * std::pow(kRetryGrowth, m_failures);
   const double bounded = std::min(grown, ToSeconds(m_options.longest_retry));
   std::uniform_real_distribution<double> jitter(1 - kJitter, 1);
   m_notBefore = aNow + std::chrono::duration_cast<Duration>(
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -6,6 +6,7 @@
 #include "sapphirelane/base/error.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/relay/work_board.h"
+#include "sapphirelane/routing/shortfall.h"
 
 namespace sapphirelane {
 
@@ -120,10 +121,7 @@
   const KeyDirectory& Keys() const override { return m_keys; }
   bool IsFresh(TimePoint /*aNow*/) const override { return true; }
   std::pair<std::size_t, std::size_t> Rank() const override { return m_rank; }
-  std::string DataCentre() const override
-  {
-    return m_options.self.data_centre;
-  }
+  std::string DataCentre() const override { return m_options.self.data_centre; }
 
   AskId AskToken(const std::string& aAccount,
                  TimePoint /*aDeadline*/,
@@ -200,6 +198,19 @@
     }
   }
 
+  void NoteOutcome(const std::string& aService,
+                   bool aServed,
+                   TimePoint aNow) override
+  {
+    m_board.NoteOutcome(aService, aServed);
+    m_shortfall[aService].Note(1, aServed ? 0 : 1, aNow);
+  }
+
+  double Shortfall(const std::string& aService, TimePoint aNow) override
+  {
+    return m_shortfall[aService].Share(aNow);
+  }
+
   bool TakeExtra(const std::string& aService, TimePoint aNow) override
   {
     return m_extras.Take(aService, aNow);
@@ -269,8 +280,7 @@
       return;
     }
     m_peerCall = 0;
-    const auto* view =
-      aReply ? std::get_if<ViewReply>(&*aReply) : nullptr;
+    const auto* view = aReply ? std::get_if<ViewReply>(&*aReply) : nullptr;
     if (view == nullptr || !view->known) {
       m_wantsConfig = m_wantsConfig || m_askedForConfig;
       return;
@@ -332,8 +342,8 @@
     }
     m_nextAnnounce = aNow + kAnnounceRetry;
     SourceCall call;
-    call.kind = m_written ? SourceCall::Kind::ReadHosts
-                          : SourceCall::Kind::WriteHost;
+    call.kind =
+      m_written ? SourceCall::Kind::ReadHosts : SourceCall::Kind::WriteHost;
     call.host = { m_options.self.host,
                   m_options.self.data_centre,
                   m_options.self.address };
@@ -347,8 +357,7 @@
 
   void ReadStore(TimePoint aNow)
   {
-    const bool due =
-      m_pacer.IsDue(m_view.Age(aNow), m_peers.Order(aNow), aNow);
+    const bool due = m_pacer.IsDue(m_view.Age(aNow), m_peers.Order(aNow), aNow);
     if (due) {
       m_pacer.Begin(aNow);
       SourceCall call;
@@ -381,11 +390,10 @@
     }
     m_storeAnswers = aResult.answered;
     LogLine("store",
-            aResult.answered
-              ? std::string("The store answers.")
-              : std::string("The store does not answer. call=") +
-                  SourceCallName(aResult.kind) + " error=\"" + aResult.error +
-                  "\"");
+            aResult.answered ? std::string("The store answers.")
+                             : std::string("The store does not answer. call=") +
+                                 SourceCallName(aResult.kind) + " error=\"" +
+                                 aResult.error + "\"");
   }
 
   void OnEndpointsRead(const SourceResult& aResult, TimePoint aNow)
@@ -399,10 +407,8 @@
     const Duration age = aNow - aResult.asked;
     m_view.TakeEndpoints(base, batch.version, batch.changes, age, aNow);
     OnViewChanged(aNow, "store");
-    TellView(batch.whole ? batch.version : aResult.after,
-             batch.changes,
-             age,
-             aNow);
+    TellView(
+      batch.whole ? batch.version : aResult.after, batch.changes, age, aNow);
   }
 
   void OnConfigRead(const SourceResult& aResult, TimePoint aNow)
@@ -482,12 +488,12 @@
               TimePoint aNow)
   {
     const auto changes = Converted(aNews.changes, FromWire);
-    const bool follows = m_view.TakeEndpoints(std::max<std::uint64_t>(
-                                                1, aNews.base),
-                                              aNews.version,
-                                              changes,
-                                              Milliseconds(aNews.age_ms),
-                                              aNow);
+    const bool follows =
+      m_view.TakeEndpoints(std::max<std::uint64_t>(1, aNews.base),
+                           aNews.version,
+                           changes,
+                           Milliseconds(aNews.age_ms),
+                           aNow);
     OnViewChanged(aNow, "peer");
     if (aNews.spread) {
       ViewNews own = aNews;
@@ -510,8 +516,8 @@
   /// Asks a daemon that cannot be read from the store for its view.
   void AskPeer(TimePoint aNow)
   {
-    const bool old = m_view.Age(aNow) > kAskPeerAfter ||
-                     m_view.Config() == nullptr;
+    const bool old =
+      m_view.Age(aNow) > kAskPeerAfter || m_view.Config() == nullptr;
     if (!old || aNow < m_nextPeerAsk) {
       return;
     }
@@ -565,9 +571,9 @@
   void OnViewChanged(TimePoint aNow, const char* aFrom)
   {
     const FleetConfig* config = m_view.Config();
-    const bool same = config == nullptr ||
-                      (config->version == m_loadedVersion &&
-                       config->endpoint_revision == m_loadedRevision);
+    const bool same =
+      config == nullptr || (config->version == m_loadedVersion &&
+                            config->endpoint_revision == m_loadedRevision);
     if (same) {
       return;
     }
@@ -682,10 +688,15 @@
       const std::string service = m_board.ServiceOf(work.service);
       const std::uint32_t requests = heard.Advance(
         heard.requests, work.service, work.requests, !first || young);
-      const std::uint32_t extras = heard.Advance(
-        heard.extras, work.service, work.extras, !first || young);
+      const std::uint32_t extras =
+        heard.Advance(heard.extras, work.service, work.extras, !first || young);
       m_extras.NoteRequests(service, requests, aNow);
       m_extras.NoteExtras(service, extras, aNow);
+      const std::uint32_t ended =
+        heard.Advance(heard.ended, work.service, work.ended, !first || young);
+      const std::uint32_t unserved = heard.Advance(
+        heard.unserved, work.service, work.unserved, !first || young);
+      m_shortfall[service].Note(ended, unserved, aNow);
     }
     AddEvidence(m_board.Take(aNews));
   }
@@ -714,6 +725,8 @@
     Counters spent;
     Counters requests;
     Counters extras;
+    Counters ended;
+    Counters unserved;
 
     /// @return How far a counter has advanced; 0 for a first value that was
     /// reached before this daemon listened.
@@ -737,6 +750,7 @@
   ExtraBudget m_extras;
   WorkBoard m_board;
   KeyDirectory m_keys;
+  std::map<std::string, ShortfallMeter> m_shortfall; ///< By service.
   std::vector<ControlEvent> m_events;
   std::map<NodeId, Heard> m_heard;
   std::map<AskId, std::string> m_spent; ///< Accounts of tokens in use.
--- a/src/sapphirelane/relay/work_board.cpp
+++ b/src/sapphirelane/relay/work_board.cpp
@@ -150,6 +150,17 @@
   }
 }
 
+void
+WorkBoard::NoteOutcome(const std::string& aService, bool aServed)
+{
+  const std::uint32_t service = ShortHash(aService);
+  ServiceWork& own = m_ownServices[service];
+  own.service = service;
+  ++own.ended;
+  own.unserved += aServed ? 0 : 1;
+  m_newServices.insert(service);
+}
+
 void
 WorkBoard::NoteSpent(const std::string& aAccount, std::int32_t aCount)
 {
--- a/src/sapphirelane/routing/spell_ejector.cpp
+++ b/src/sapphirelane/routing/spell_ejector.cpp
@@ -83,8 +83,8 @@
       const bool doubted = BeliefAt(state, aNow) > kDoubted;
       if (doubted != state.reported) {
         state.reported = doubted;
-        const std::string percent = std::to_string(
-          std::lround(100 * BeliefAt(state, aNow)));
+        const std::string percent =
+          std::to_string(std::lround(100 * BeliefAt(state, aNow)));
         changes.push_back(
           { endpoint.id, doubted, "in a spell with " + percent + "%" });
       }
@@ -114,9 +114,8 @@
   double FailureOf(const std::string& aEndpoint, TimePoint aNow) const override
   {
     auto found = m_states.find(aEndpoint);
-    const double belief = found == m_states.end()
-                            ? SickShare()
-                            : BeliefAt(found->second, aNow);
+    const double belief =
+      found == m_states.end() ? SickShare() : BeliefAt(found->second, aNow);
     return belief * m_sickFailure + (1 - belief) * m_soundFailure;
   }
 
@@ -162,8 +161,7 @@
     const double odds = aState.belief / (1 - aState.belief);
     const double moved =
       std::max(odds, kLeastBelief) * std::pow(ratio, aWeight);
-    aState.belief =
-      std::clamp(moved / (1 + moved), kLeastBelief, kMostBelief);
+    aState.belief = std::clamp(moved / (1 + moved), kLeastBelief, kMostBelief);
   }
 
   /// Learns from a result how long spells last and what happens in them.
