Keep connections for work that cannot be repeated while they are proven

Change: limits.proven_ms (0, a new one, unless set; 6 s on the platform, below the endpoints' idle close of 10 s); the balancer prefers endpoints with a free kept connection.

--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -42,6 +42,9 @@
   Milliseconds idle{ 30000 };                 ///< Silent caller connection.
   Milliseconds dedup_window{ 600000 };        ///< Life of an idempotency key.
   Milliseconds connect_timeout{ 1000 };       ///< To an endpoint.
+  /// Time since its last answer for which a kept connection may carry work that
+  /// cannot be repeated; 0 for a new connection each time.
+  Milliseconds proven{ 0 };
 };
 
 /// @brief Budget of attempts beyond the first, over the whole fleet; for a
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -40,6 +40,7 @@
   std::uint32_t pool = 8;  ///< Requests of this daemon at one endpoint.
   std::uint32_t ahead = 0; ///< Requests that may wait at an endpoint.
   std::string data_centre; ///< This daemon's.
+  Duration connection_life = Milliseconds(0); ///< Of a kept connection.
 };
 
 /// @brief What a daemon knows of one service: endpoints, health and load.
@@ -68,7 +69,8 @@
 
   /// @brief Notes an attempt's start and end.
   void Begin(const std::string& aEndpoint, TimePoint aNow);
-  void End(const std::string& aEndpoint);
+  /// @param aKept The connection was kept for later use.
+  void End(const std::string& aEndpoint, bool aKept, TimePoint aNow);
 
   /// @brief Requests of this daemon at an endpoint.
   std::uint32_t InFlight(const std::string& aEndpoint) const;
@@ -124,7 +126,9 @@
     TimePoint latency_time{};
     TimePoint since{};
     TimePoint cold_until{};
-    TimePoint used{}; ///< When any daemon last had work there.
+    std::uint32_t kept = 0; ///< Kept connections that are free.
+    TimePoint kept_at{};    ///< When the last one was kept.
+    TimePoint used{};       ///< When any daemon last had work there.
     bool in_subset = true;
     bool moved = false;
     bool trial_running = false;
--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -25,6 +25,7 @@
   std::optional<std::uint64_t> length; ///< Of the body; none if chunked.
   bool rewind = false;         ///< Send the body once more from its start.
   bool new_connection = false; ///< Use no connection from the pool.
+  Duration unused_for = Duration::max(); ///< Longest, of one from the pool.
   bool hold = false; ///< Report the head only when the answer is whole.
   std::string deadline_header; ///< Told the time left; empty for none.
   std::string echo_header;     ///< The answer repeats echo in it, or empty.
@@ -49,10 +50,11 @@
   bool whole = false;        ///< With End: the answer came whole.
   bool sent = true;          ///< With End: a byte may have left.
   bool caller_fault = false; ///< With End: the caller broke its body off.
-  bool stale = false;        ///< With End: a kept connection proved to be dead.
-  std::string error;         ///< With End, if not whole.
-  std::string kept_body;     ///< With End: the body, if small enough.
-  bool body_kept = false;    ///< With End: kept_body is the whole body.
+  bool kept = false;      ///< With End: its connection waits for another use.
+  bool stale = false;     ///< With End: a kept connection proved to be dead.
+  std::string error;      ///< With End, if not whole.
+  std::string kept_body;  ///< With End: the body, if small enough.
+  bool body_kept = false; ///< With End: kept_body is the whole body.
 };
 
 /// @brief Makes attempts; used by the thread that decides.
@@ -77,7 +79,7 @@
   std::size_t ring = 8192;              ///< Orders that may wait.
   std::size_t pool_per_endpoint = 8;    ///< Idle connections to one endpoint.
   Milliseconds connect_timeout{ 1000 }; ///< For a new connection.
-  Milliseconds proven_for{ 5000 };      ///< Idle time after which to reconnect.
+  Milliseconds proven_for{ 8000 };      ///< Idle time after which to reconnect.
 };
 
 /// @brief Duty that makes attempts over HTTP/1.1.
--- a/include/sapphirelane/routing/balancer.h
+++ b/include/sapphirelane/routing/balancer.h
@@ -29,6 +29,7 @@
   double failure_cost = 0;  ///< What a failure loses, in requests.
   double transfer_cost = 0; ///< Of sending it there, in requests.
   bool cold = false;        ///< Works slowly, as it has just started.
+  bool connected = false;   ///< A kept connection is free.
 };
 
 /// @brief Chooses the endpoint of one attempt.
@@ -64,10 +65,11 @@
 /// @brief Options of the expected-cost balancer. Costs are in requests lost.
 struct ExpectedCostOptions
 {
-  double late_cost = 0.7;  ///< Of an answer that misses its target.
-  double load_cost = 0.03; ///< Of all slots of an endpoint being in use.
-  double cold_factor = 2;  ///< Times as long that a cold endpoint takes.
-  double tie = 0.005;      ///< Costs this close are drawn from at random.
+  double late_cost = 0.7;     ///< Of an answer that misses its target.
+  double load_cost = 0.03;    ///< Of all slots of an endpoint being in use.
+  double cold_factor = 2;     ///< Times as long that a cold endpoint takes.
+  double connect_cost = 0.03; ///< Of a new connection, which takes a slot.
+  double tie = 0.005;         ///< Costs this close are drawn from at random.
   Duration default_latency = Milliseconds(200); ///< Where none is known.
   Duration default_target = Milliseconds(1000); ///< Where none is set.
 };
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -104,6 +104,7 @@
     "dedup_window_ms", aLimits.dedup_window, Milliseconds(1000), kOneDay);
   aReader.Read(
     "connect_timeout_ms", aLimits.connect_timeout, Milliseconds(10), kOneHour);
+  aReader.Read("proven_ms", aLimits.proven, Milliseconds(0), kOneHour);
   aReader.Finish();
 }
 
--- a/src/sapphirelane/proxy/connection_pool.cpp
+++ b/src/sapphirelane/proxy/connection_pool.cpp
@@ -5,11 +5,17 @@
 namespace sapphirelane {
 
 UpstreamConnectionPtr
-ConnectionPool::Take(const std::string& aKey, TimePoint aNow)
+ConnectionPool::Take(const std::string& aKey,
+                     Duration aUnusedFor,
+                     TimePoint aNow)
 {
   auto found = m_idle.find(aKey);
   while (found != m_idle.end() && !found->second.empty()) {
+    // The last one is the one that was used last.
     UpstreamConnectionPtr connection = found->second.back();
+    if (aNow - connection->last_used > aUnusedFor) {
+      return nullptr;
+    }
     found->second.pop_back();
     boost::system::error_code error;
     connection->socket.cancel(error);
--- a/src/sapphirelane/proxy/connection_pool.h
+++ b/src/sapphirelane/proxy/connection_pool.h
@@ -25,7 +25,8 @@
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer input;
-  std::string key;       ///< Endpoint and address.
+  std::string key; ///< Endpoint and address.
+  TimePoint last_used{};
   TimePoint unused_at{}; ///< It is not used again from this moment on.
   bool used = false;     ///< It served an attempt before.
 };
@@ -45,7 +46,10 @@
   }
 
   /// @brief Takes the connection that was used last, if there is a sound one.
-  UpstreamConnectionPtr Take(const std::string& aKey, TimePoint aNow);
+  /// @param aUnusedFor Longest time since its last use.
+  UpstreamConnectionPtr Take(const std::string& aKey,
+                             Duration aUnusedFor,
+                             TimePoint aNow);
 
   /// @brief Keeps a connection for later use.
   void Put(const UpstreamConnectionPtr& aConnection);
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -566,7 +566,11 @@
     order.length = aRequest.head.length;
     // A request that may not be sent twice takes no connection that might
     // have gone silent.
-    order.new_connection = !IsSafe(aRequest);
+    const Duration proven = m_options.limits.proven;
+    if (!IsSafe(aRequest)) {
+      order.new_connection = proven == Duration::zero();
+      order.unused_for = proven;
+    }
     order.rewind = aRequest.attempts_made > 1;
     // The token pays for the request; further attempts need no other one.
     const bool first = aRequest.attempts_made == 1 && !aRequest.route.open;
@@ -771,7 +775,7 @@
                             (found - aRequest.attempts.data()));
     m_attempts.erase(aEvent.id);
     ServiceState& state = *m_services.At(aRequest.service).state;
-    state.End(attempt.endpoint);
+    state.End(attempt.endpoint, aEvent.kept, aNow);
     const bool cancelled = aEvent.error == "cancelled";
     ReportEnd(aRequest, attempt, aEvent, aNow);
     if (!aEvent.sent) {
@@ -1091,7 +1095,7 @@
     ServiceEntry* service = m_services.Find(request.service);
     for (const Attempt& attempt : request.attempts) {
       m_upstreams.Cancel(attempt.id);
-      service->state->End(attempt.endpoint);
+      service->state->End(attempt.endpoint, false, aNow);
       m_attempts.erase(attempt.id);
       WorkReport report;
       report.bad = attempt.failed ? 1 : 0;
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -67,11 +67,13 @@
 void
 ServiceBook::Make(ServiceEntry& aEntry) const
 {
-  aEntry.state = std::make_unique<ServiceState>(
-    BalancerRegistry::Make(m_policies.balancer),
-    EjectorRegistry::Make(m_policies.ejector),
-    ServiceStateOptions{
-      m_policies.pool, m_policies.ahead, m_control.DataCentre() });
+  aEntry.state =
+    std::make_unique<ServiceState>(BalancerRegistry::Make(m_policies.balancer),
+                                   EjectorRegistry::Make(m_policies.ejector),
+                                   ServiceStateOptions{ m_policies.pool,
+                                                        m_policies.ahead,
+                                                        m_control.DataCentre(),
+                                                        m_limits.proven });
   aEntry.queue =
     QueueRegistry::Make(m_policies.queue, m_limits.queue_per_account);
 }
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -136,6 +136,8 @@
   candidate.target = aRequest.target;
   candidate.failure = m_ejector->FailureOf(aState.endpoint.id, aNow);
   candidate.failure_cost = aRequest.repeatable ? kRepeatableCost : 1;
+  candidate.connected =
+    aState.kept > 0 && aNow - aState.kept_at < m_options.connection_life;
   candidate.cold = aNow < aState.cold_until;
   constexpr double kMegabyte = 1e6;
   const bool remote = !m_options.data_centre.empty() &&
@@ -247,18 +249,25 @@
 {
   auto found = m_endpoints.find(aEndpoint);
   if (found != m_endpoints.end()) {
-    ++found->second.in_flight;
-    found->second.used = aNow;
+    EndpointState& state = found->second;
+    ++state.in_flight;
+    state.used = aNow;
+    state.kept -= state.kept > 0 ? 1 : 0;
   }
 }
 
 void
-ServiceState::End(const std::string& aEndpoint)
+ServiceState::End(const std::string& aEndpoint, bool aKept, TimePoint aNow)
 {
   auto found = m_endpoints.find(aEndpoint);
   if (found != m_endpoints.end() && found->second.in_flight > 0) {
-    --found->second.in_flight;
-    found->second.trial_running = false;
+    EndpointState& state = found->second;
+    --state.in_flight;
+    state.trial_running = false;
+    if (aKept) {
+      ++state.kept;
+      state.kept_at = aNow;
+    }
   }
 }
 
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -63,7 +63,7 @@
 
   void Finish(const std::string& aEndpoint)
   {
-    m_state->End(aEndpoint);
+    m_state->End(aEndpoint, false, m_now);
     const bool bad = m_failing.count(aEndpoint) == 1;
     m_state->Observe(aEndpoint,
                      { bad ? WorkResult::Failed : WorkResult::Answered,
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -81,7 +81,7 @@
   TakeWakes();
   const std::string key = m_order.endpoint + "@" + m_order.address;
   if (!m_order.new_connection) {
-    m_connection = m_context.pool.Take(key, aNow);
+    m_connection = m_context.pool.Take(key, m_order.unused_for, aNow);
   }
   if (m_connection != nullptr) {
     Send(aNow);
@@ -524,7 +524,7 @@
   event.body_kept = aWhole && m_keptWhole;
   event.kept_body = event.body_kept ? m_kept : std::string();
   event.error = aError;
-  ReleaseConnection();
+  event.kept = ReleaseConnection();
   m_context.on_event(std::move(event));
   if (m_accepted) {
     Flush();
@@ -533,18 +533,21 @@
   }
 }
 
-void
+/// @return True if the connection was kept.
+bool
 UpstreamTransfer::ReleaseConnection()
 {
   if (m_connection == nullptr) {
-    return;
+    return false;
   }
   const bool keep = m_whole && m_mayKeep && m_requestWhole && !m_writing &&
                     m_parser->keep_alive() && m_connection->input.size() == 0;
   if (keep) {
     const Duration proven = m_context.options.proven_for;
+    m_connection->last_used = Clock::now();
     m_connection->unused_at =
-      Clock::now() + std::min(proven, KeepAliveTime(m_head).value_or(proven));
+      m_connection->last_used +
+      std::min(proven, KeepAliveTime(m_head).value_or(proven));
     m_connection->used = true;
     m_context.pool.Put(m_connection);
   } else {
@@ -552,6 +555,7 @@
     m_connection->socket.close(ignored);
   }
   m_connection = nullptr;
+  return keep;
 }
 
 void
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -71,7 +71,7 @@
 
   /// Ends the attempt, once.
   void Finish(bool aWhole, const std::string& aError);
-  void ReleaseConnection();
+  bool ReleaseConnection();
   void Forget();
 
   AttemptOrder m_order;
--- a/src/sapphirelane/routing/expected_cost.cpp
+++ b/src/sapphirelane/routing/expected_cost.cpp
@@ -48,7 +48,8 @@
                                       ? aCandidate.target
                                       : m_options.default_target);
     const double late = std::min(1.0, latency * (1 + waiting) / target);
-    return aCandidate.failure * aCandidate.failure_cost +
+    const double connect = aCandidate.connected ? 0 : m_options.connect_cost;
+    return connect + aCandidate.failure * aCandidate.failure_cost +
            aCandidate.transfer_cost + m_options.late_cost * late * late +
            m_options.load_cost * std::min(1.0, ahead / slots);
   }
