Take spells of a service to be of like length; keep news in its data centre in large fleets

Change: survival of a spell by its learned length; late_cost 0.2; above 48 daemons news of work stays in the endpoint's data centre and sums go between them; the configuration is encoded once; a slow store makes no second daemon read; neglected endpoints are drawn at random.

--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -137,7 +137,9 @@
 
   std::optional<std::size_t> Neglected(
     const std::vector<Candidate>& aCandidates,
-    TimePoint aNow) const;
+    TimePoint aNow,
+    Random& aRandom) const;
+  bool IsElsewhere(const EndpointState& aState) const;
   std::uint32_t Room(const EndpointState& aState) const;
   bool MayChoose(const EndpointState& aState) const;
   Candidate CandidateOf(const EndpointState& aState,
@@ -152,6 +154,7 @@
   ServiceStateOptions m_options;
   std::string m_service;
   std::uint32_t m_floor = 0;
+  bool m_large = false; ///< The fleet is large.
   std::map<std::string, EndpointState> m_endpoints;
   bool m_badEvidence = false;
 };
--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -51,6 +51,12 @@
                                   TimePoint aNow,
                                   Random& aRandom) const;
 
+  /// @brief The same of one data centre.
+  std::vector<std::string> RelaysOf(const std::string& aCentre,
+                                    std::size_t aCount,
+                                    TimePoint aNow,
+                                    Random& aRandom) const;
+
   /// @brief Addresses to which to send this daemon's presence.
   /// @param aRemote Of each other data centre, this many.
   std::vector<std::string> PresenceTargets(std::size_t aRemote,
@@ -62,6 +68,12 @@
   /// @brief This daemon's place among those that live, by a stable order.
   std::size_t Order(TimePoint aNow) const;
 
+  /// @brief Its place among those that live in its data centre.
+  std::size_t NeighbourOrder(TimePoint aNow) const;
+
+  /// @brief Tells whether a daemon is of this data centre.
+  bool IsNeighbour(NodeId aNode) const;
+
   /// @brief Its place among those that are counted, by the same order.
   std::size_t CountedOrder(TimePoint aNow) const;
 
--- a/include/sapphirelane/relay/read_pacer.h
+++ b/include/sapphirelane/relay/read_pacer.h
@@ -19,6 +19,9 @@
   Duration period = Milliseconds(400); ///< Of the first daemon.
   Duration step = Milliseconds(80);    ///< More for each further one.
   Duration longest = Milliseconds(1000);
+  /// Most that a slow store adds, so that its slowness alone makes no other
+  /// daemon read.
+  Duration most_store_time = Milliseconds(1500);
   Duration first_retry = Milliseconds(300); ///< After a read that failed.
   Duration longest_retry = Milliseconds(1500);
 };
@@ -37,13 +40,18 @@
 
   /// @param aAge Age of the view.
   /// @param aOrder This daemon's place among those that live; 0 is the first.
-  bool IsDue(Duration aAge, std::size_t aOrder, TimePoint aNow) const;
+  /// @param aStoreTime How long the store takes for a read now.
+  bool IsDue(Duration aAge,
+             std::size_t aOrder,
+             Duration aStoreTime,
+             TimePoint aNow) const;
 
   /// @brief Notes that a read has begun.
   void Begin(TimePoint aNow);
 
-  /// @brief Notes how it ended.
-  void End(bool aRead, TimePoint aNow, Random& aRandom);
+  /// @brief Notes how it ended. After a failure, daemons that come later in
+  /// order wait longer for the next read, as the first ones will tell them.
+  void End(bool aRead, std::size_t aOrder, TimePoint aNow, Random& aRandom);
 
 private:
   ReadPacerOptions m_options;
--- a/include/sapphirelane/relay/work_board.h
+++ b/include/sapphirelane/relay/work_board.h
@@ -37,6 +37,9 @@
   std::string AccountOf(std::uint32_t aHash) const;
   std::string ServiceOf(std::uint32_t aHash) const;
 
+  /// @brief Data centre of an endpoint by its hash; empty if not known.
+  std::string CentreOf(std::uint32_t aHash) const;
+
   // What this daemon tells the others.
 
   /// @brief Notes this daemon's own work.
@@ -55,6 +58,7 @@
   {
     std::string service;
     std::string endpoint;
+    std::string data_centre;
   };
 
   std::uint32_t Sum(std::uint32_t aEndpoint) const;
--- a/include/sapphirelane/routing/balancer.h
+++ b/include/sapphirelane/routing/balancer.h
@@ -65,11 +65,13 @@
 /// @brief Options of the expected-cost balancer. Costs are in requests lost.
 struct ExpectedCostOptions
 {
-  double late_cost = 0.7;     ///< Of an answer that misses its target.
-  double load_cost = 0.03;    ///< Of all slots of an endpoint being in use.
+  /// Of an answer that is expected at its target. Half of those answers are
+  /// late and lose 0.7, but the share falls steeply below the target.
+  double late_cost = 0.2;
+  double load_cost = 0.005;   ///< Of all slots of an endpoint being in use.
   double cold_factor = 2;     ///< Times as long that a cold endpoint takes.
   double connect_cost = 0.03; ///< Of a new connection, which takes a slot.
-  double tie = 0.005;         ///< Costs this close are drawn from at random.
+  double tie = 0.003;         ///< Costs this close are drawn from at random.
   Duration default_latency = Milliseconds(200); ///< Where none is known.
   Duration default_target = Milliseconds(1000); ///< Where none is set.
 };
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -30,9 +30,17 @@
 /// over 2 s, and the work has to reach the endpoint within them.
 constexpr Milliseconds kNeglectedAfter{ 1200 };
 
-/// Share of endpoints that get work while many requests fail: the floor of 0.7
-/// and a margin for endpoints that are not counted as sound.
-constexpr double kLeastUsedShare = 0.85;
+/// Share of endpoints that may be without work while many requests fail, but
+/// one at the least. The floor allows 0.3 of the sound ones, which may be few.
+constexpr double kMostIdleShare = 0.07;
+
+/// Hosts from which on daemons know little of endpoints elsewhere, as news of
+/// work stays in its data centre.
+constexpr std::size_t kLargeFleet = 48;
+
+/// Cost of an endpoint elsewhere in a large fleet, in requests: others may have
+/// work there that is not known here.
+constexpr double kElsewhereCost = 0.1;
 
 /// Connections that one host may need while a pool is being renewed.
 constexpr std::size_t kPoolsOfHost = 1;
@@ -56,6 +64,7 @@
                    TimePoint aNow)
 {
   m_service = aService;
+  m_large = aHosts > kLargeFleet;
   m_floor = aConfig.services.at(aService).floor;
   const bool first = m_endpoints.empty();
   std::vector<std::string> ids;
@@ -140,11 +149,10 @@
     aState.kept > 0 && aNow - aState.kept_at < m_options.connection_life;
   candidate.cold = aNow < aState.cold_until;
   constexpr double kMegabyte = 1e6;
-  const bool remote = !m_options.data_centre.empty() &&
-                      aState.endpoint.data_centre != m_options.data_centre;
-  if (remote) {
+  if (IsElsewhere(aState)) {
     candidate.transfer_cost =
-      static_cast<double>(aRequest.body_bytes) / kMegabyte * kTransferCost;
+      static_cast<double>(aRequest.body_bytes) / kMegabyte * kTransferCost +
+      (m_large ? kElsewhereCost : 0);
   }
   candidate.reported_load = aState.load;
   candidate.report_age = aNow - aState.load_time;
@@ -158,6 +166,13 @@
   return candidate;
 }
 
+bool
+ServiceState::IsElsewhere(const EndpointState& aState) const
+{
+  return !m_options.data_centre.empty() &&
+         aState.endpoint.data_centre != m_options.data_centre;
+}
+
 std::optional<Placement>
 ServiceState::Place(const PlaceRequest& aRequest,
                     TimePoint aNow,
@@ -184,7 +199,7 @@
   }
   const auto& choice = candidates.empty() ? avoided : candidates;
   const auto neglected =
-    aRequest.spread ? Neglected(choice, aNow) : std::nullopt;
+    aRequest.spread ? Neglected(choice, aNow, aRandom) : std::nullopt;
   const auto index =
     neglected ? neglected : m_balancer->Pick(choice, aNow, aRandom);
   if (!index) {
@@ -198,37 +213,42 @@
                       std::to_string(choice.size()) };
 }
 
-/// While many requests of the service fail, no more than a share of its
-/// endpoints may go without work. Picks the one least likely to fail.
+/// While many requests of the service fail, few of its endpoints may go without
+/// work. Draws one of them, so that daemons do not all choose the same.
 std::optional<std::size_t>
 ServiceState::Neglected(const std::vector<Candidate>& aCandidates,
-                        TimePoint aNow) const
+                        TimePoint aNow,
+                        Random& aRandom) const
 {
-  std::size_t all = 0;
-  std::size_t idle = 0;
-  const auto isIdle = [&](const EndpointState& aState) {
+  const auto counts = [this](const EndpointState& aState) {
+    return aState.endpoint.state == LifeState::InService && !aState.moved &&
+           !(m_large && IsElsewhere(aState));
+  };
+  const auto isIdle = [aNow](const EndpointState& aState) {
     return aNow - aState.used > kNeglectedAfter;
   };
+  std::size_t all = 0;
+  std::size_t idle = 0;
   for (const auto& entry : m_endpoints) {
-    const EndpointState& state = entry.second;
-    if (state.endpoint.state == LifeState::InService && !state.moved) {
-      ++all;
-      idle += isIdle(state) ? 1 : 0;
-    }
+    all += counts(entry.second) ? 1 : 0;
+    idle += counts(entry.second) && isIdle(entry.second) ? 1 : 0;
   }
-  if (static_cast<double>(all - idle) >=
-      kLeastUsedShare * static_cast<double>(all)) {
+  const double most = std::max(1.0, kMostIdleShare * static_cast<double>(all));
+  if (static_cast<double>(idle) <= most) {
     return std::nullopt;
   }
-  std::optional<std::size_t> best;
+  std::vector<std::size_t> neglected;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    const bool better =
-      !best || aCandidates[i].failure < aCandidates[*best].failure;
-    if (better && isIdle(m_endpoints.at(aCandidates[i].id))) {
-      best = i;
+    const EndpointState& state = m_endpoints.at(aCandidates[i].id);
+    if (counts(state) && isIdle(state)) {
+      neglected.push_back(i);
     }
   }
-  return best;
+  if (neglected.empty()) {
+    return std::nullopt;
+  }
+  std::uniform_int_distribution<std::size_t> draw(0, neglected.size() - 1);
+  return neglected[draw(aRandom)];
 }
 
 std::size_t
--- /dev/null
+++ b/src/sapphirelane/relay/extra_budget_test.cpp
@@ -0,0 +1,55 @@
+#include "sapphirelane/relay/extra_budget.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <rapidcheck/catch.h>
+
+#include "sapphirelane/routing/random.h"
+
+namespace sapphirelane {
+namespace {
+
+TEST_CASE("ExtraBudget, every attempt fails, stays within share and slack in "
+          "any window")
+{
+  rc::prop("no window holds more", [] {
+    ExtraBudgetOptions options;
+    options.slack = *rc::gen::inRange(0, 200);
+    options.share = 0.1 * *rc::gen::inRange(0, 5);
+    ExtraBudget budget(options);
+    Random random(*rc::gen::arbitrary<std::uint32_t>());
+    std::exponential_distribution<double> gap(50);
+    TimePoint now{ std::chrono::hours(1) };
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> extras;
+    for (int i = 0; i < 2000; ++i) {
+      now += std::chrono::duration_cast<Duration>(Seconds(gap(random)));
+      budget.NoteRequests("s", 1, now);
+      requests.push_back(now);
+      if (budget.Take("s", now)) {
+        extras.push_back(now);
+      }
+      const auto within = [&](const std::vector<TimePoint>& aTimes) {
+        return static_cast<double>(
+          aTimes.end() -
+          std::lower_bound(aTimes.begin(), aTimes.end(), now - options.window));
+      };
+      RC_ASSERT(within(extras) <=
+                options.share * within(requests) * 1.06 + options.slack + 1);
+    }
+  });
+}
+
+TEST_CASE("ExtraBudget, spent by other daemons, gives nothing here")
+{
+  ExtraBudget budget({});
+  const TimePoint now{ std::chrono::hours(1) };
+  budget.NoteRequests("s", 10, now);
+  budget.NoteExtras("s", 60, now);
+  CHECK_FALSE(budget.Take("s", now));
+  CHECK(budget.Take("other", now));
+}
+
+} // namespace
+} // namespace sapphirelane
--- a/src/sapphirelane/relay/peer_book.cpp
+++ b/src/sapphirelane/relay/peer_book.cpp
@@ -147,6 +147,25 @@
   return chosen;
 }
 
+std::vector<std::string>
+PeerBook::RelaysOf(const std::string& aCentre,
+                   std::size_t aCount,
+                   TimePoint aNow,
+                   Random& aRandom) const
+{
+  std::vector<std::string> live;
+  for (const auto& entry : m_peers) {
+    const Peer& peer = entry.second;
+    if (peer.info.data_centre == aCentre && IsLive(peer, aNow)) {
+      live.push_back(peer.info.address);
+    }
+  }
+  std::vector<std::string> chosen;
+  std::sample(
+    live.begin(), live.end(), std::back_inserter(chosen), aCount, aRandom);
+  return chosen;
+}
+
 std::vector<std::string>
 PeerBook::PresenceTargets(std::size_t aRemote, Random& aRandom) const
 {
@@ -195,6 +214,27 @@
     }));
 }
 
+std::size_t
+PeerBook::NeighbourOrder(TimePoint aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+      return IsNeighbour(aEntry.second) && IsLive(aEntry.second, aNow) &&
+             ShortHash(aEntry.first) < m_selfOrder;
+    }));
+}
+
+bool
+PeerBook::IsNeighbour(NodeId aNode) const
+{
+  auto host = m_hosts.find(aNode);
+  if (host == m_hosts.end()) {
+    return false;
+  }
+  auto peer = m_peers.find(host->second);
+  return peer != m_peers.end() && IsNeighbour(peer->second);
+}
+
 std::size_t
 PeerBook::CountedOrder(TimePoint aNow) const
 {
--- a/src/sapphirelane/relay/quota_ledger.cpp
+++ b/src/sapphirelane/relay/quota_ledger.cpp
@@ -54,8 +54,7 @@
 {
   const double gained = ToSeconds(aNow - aBucket.time) * aBucket.rate * m_share;
   const double most = std::max(1.0, aBucket.burst * m_share);
-  aBucket.level =
-    std::max(aBucket.level, std::min(most, aBucket.level + gained));
+  aBucket.level = std::min(most, aBucket.level + gained);
   aBucket.time = aNow;
 }
 
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -1,6 +1,7 @@
 #include "sapphirelane/relay/store_fleet.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "sapphirelane/base/error.h"
@@ -23,6 +24,16 @@
 constexpr std::size_t kRelays = 1;
 constexpr std::size_t kUrgentRelays = 2;
 
+/// Daemons from which on news of work stays in the data centre of the endpoint,
+/// so that messages grow with the data centre and not with the fleet.
+constexpr std::size_t kLargeFleet = 48;
+
+/// Between two sums that a data centre tells the others.
+constexpr Milliseconds kCentrePeriod{ 100 };
+
+/// Tells the sender of a data centre's sums from the daemon that sends them.
+constexpr NodeId kCentreMark = 0x8000000000000000ULL;
+
 /// Longest time for which news of good work is held back to be summed up.
 constexpr Milliseconds kNewsPeriod{ 20 };
 
@@ -33,6 +44,9 @@
 constexpr Milliseconds kAskPeerAfter{ 1300 };
 constexpr Milliseconds kAskPeerPeriod{ 1000 };
 
+/// Time for a neighbour to give a new configuration before the store is asked.
+constexpr Milliseconds kPeerPatience{ 300 };
+
 /// Sequence up to which a daemon's counters are taken whole when it is first
 /// heard; beyond it, it counted before this daemon listened.
 constexpr std::uint32_t kYoungSequence = 3;
@@ -238,6 +252,7 @@
       const std::size_t counted = m_peers.Counted(aNow);
       NoteHeard(live, counted, aNow);
     }
+    TellCentre(aNow);
     if (m_board.HasNews() && aNow - m_lastNews >= kNewsPeriod) {
       SendNews(kRelays, aNow);
     }
@@ -302,9 +317,7 @@
     reply.version = m_view.Version();
     reply.endpoints = Converted(m_view.Endpoints(), ToWire);
     if (config->version > fetch->config_version) {
-      FleetConfig copy = *config;
-      copy.endpoints.clear();
-      reply.config = EncodeFleet(copy);
+      reply.config = EncodedConfig(*config);
     }
     return reply;
   }
@@ -333,6 +346,18 @@
   }
 
 private:
+  /// The configuration as text, made once for each version.
+  const std::string& EncodedConfig(const FleetConfig& aConfig)
+  {
+    if (m_encodedVersion != aConfig.version) {
+      FleetConfig copy = aConfig;
+      copy.endpoints.clear();
+      m_encoded = EncodeFleet(copy);
+      m_encodedVersion = aConfig.version;
+    }
+    return m_encoded;
+  }
+
   // The store.
 
   void Announce(TimePoint aNow)
@@ -357,15 +382,19 @@
 
   void ReadStore(TimePoint aNow)
   {
-    const bool due = m_pacer.IsDue(m_view.Age(aNow), m_peers.Order(aNow), aNow);
+    const std::size_t order = m_peers.Order(aNow);
+    const bool due = m_pacer.IsDue(m_view.Age(aNow), order, m_storeTime, aNow);
     if (due) {
       m_pacer.Begin(aNow);
       SourceCall call;
       call.kind = SourceCall::Kind::ReadEndpoints;
       call.after = m_view.Version();
       m_env.CallSource(call);
-      ReadConfig();
-    } else if (m_wantsConfig) {
+    } else if (m_wantsConfig ||
+               (m_peerCall != 0 && m_askedForConfig &&
+                aNow >= m_peerCallUntil - kAskPeerPeriod + kPeerPatience)) {
+      // A neighbour that many ask may be slow to answer.
+      m_askedForConfig = false;
       ReadConfig();
     }
   }
@@ -398,7 +427,7 @@
 
   void OnEndpointsRead(const SourceResult& aResult, TimePoint aNow)
   {
-    m_pacer.End(aResult.answered, aNow, m_random);
+    m_pacer.End(aResult.answered, m_peers.Order(aNow), aNow, m_random);
     if (!aResult.answered) {
       return;
     }
@@ -406,9 +435,11 @@
     const std::uint64_t base = batch.whole ? 0 : aResult.after;
     const Duration age = aNow - aResult.asked;
     m_view.TakeEndpoints(base, batch.version, batch.changes, age, aNow);
+    m_storeTime = age;
     OnViewChanged(aNow, "store");
     TellView(
       batch.whole ? batch.version : aResult.after, batch.changes, age, aNow);
+    ReadConfig(); // The store answers, so this one is worth its price.
   }
 
   void OnConfigRead(const SourceResult& aResult, TimePoint aNow)
@@ -494,6 +525,7 @@
                            changes,
                            Milliseconds(aNews.age_ms),
                            aNow);
+    m_storeTime = Milliseconds(aNews.age_ms);
     OnViewChanged(aNow, "peer");
     if (aNews.spread) {
       ViewNews own = aNews;
@@ -628,6 +660,7 @@
   void NoteHeard(std::size_t aLive, std::size_t aCounted, TimePoint aNow)
   {
     m_quota.SetHeard(aLive, aCounted);
+    m_large = aCounted > kLargeFleet;
     m_rank = { m_peers.CountedOrder(aNow), aCounted };
     m_extras.SetShare(m_quota.Share());
     if (aLive != m_live) {
@@ -655,7 +688,89 @@
     news.origin = m_options.self.id;
     news.sequence = ++m_sequence;
     m_lastNews = aNow;
-    Spread(std::move(news), aRelays, aNow);
+    if (!m_large) {
+      Spread(std::move(news), aRelays, aNow);
+      return;
+    }
+    NoteForCentre(news);
+    SpreadOn(news, aNow);
+    SendToOwners(news, aRelays, aNow);
+  }
+
+  /// Tells the daemons of another data centre about work on its endpoints.
+  void SendToOwners(const WorkNews& aNews, std::size_t aRelays, TimePoint aNow)
+  {
+    std::map<std::string, WorkNews> byCentre;
+    for (const EndpointWork& work : aNews.endpoints) {
+      const std::string centre = m_board.CentreOf(work.endpoint);
+      if (!centre.empty() && centre != m_options.self.data_centre) {
+        byCentre[centre].endpoints.push_back(work);
+      }
+    }
+    for (auto& [centre, news] : byCentre) {
+      news.origin = aNews.origin;
+      news.sequence = aNews.sequence;
+      news.spread = true;
+      const PeerMessage message = news;
+      for (const std::string& address :
+           m_peers.RelaysOf(centre, aRelays, aNow, m_random)) {
+        m_env.Send(address, message);
+      }
+    }
+  }
+
+  /// Adds a daemon's counters to those of its data centre.
+  void NoteForCentre(const WorkNews& aNews)
+  {
+    Heard& heard = m_centreHeard[aNews.origin];
+    const bool counts = heard.sequence > 0 || aNews.sequence <= kYoungSequence;
+    heard.sequence = aNews.sequence;
+    for (const AccountWork& work : aNews.accounts) {
+      m_centreSpent[work.account] +=
+        heard.Advance(heard.spent, work.account, work.spent, counts);
+      m_centreAccounts.insert(work.account);
+    }
+    for (const ServiceWork& work : aNews.services) {
+      ServiceWork& sum = m_centreServices[work.service];
+      sum.service = work.service;
+      sum.requests +=
+        heard.Advance(heard.requests, work.service, work.requests, counts);
+      sum.extras +=
+        heard.Advance(heard.extras, work.service, work.extras, counts);
+      sum.ended += heard.Advance(heard.ended, work.service, work.ended, counts);
+      sum.unserved +=
+        heard.Advance(heard.unserved, work.service, work.unserved, counts);
+      m_centreServiceNews.insert(work.service);
+    }
+  }
+
+  /// In a large fleet the first daemon of a data centre tells the others what
+  /// all daemons of its own have let through.
+  void TellCentre(TimePoint aNow)
+  {
+    const bool due = m_large && aNow - m_lastCentre >= kCentrePeriod &&
+                     m_peers.NeighbourOrder(aNow) == 0;
+    if (!due || (m_centreAccounts.empty() && m_centreServiceNews.empty())) {
+      return;
+    }
+    m_lastCentre = aNow;
+    WorkNews news;
+    news.origin = m_options.self.id ^ kCentreMark;
+    news.sequence = ++m_centreSequence;
+    news.spread = true;
+    for (std::uint32_t account : m_centreAccounts) {
+      news.accounts.push_back({ account, m_centreSpent[account] });
+    }
+    for (std::uint32_t service : m_centreServiceNews) {
+      news.services.push_back(m_centreServices[service]);
+    }
+    m_centreAccounts.clear();
+    m_centreServiceNews.clear();
+    const PeerMessage message = news;
+    for (const std::string& address :
+         m_peers.Relays(kUrgentRelays, aNow, m_random)) {
+      m_env.Send(address, message);
+    }
   }
 
   void Handle(const std::string& /*aAddress*/,
@@ -675,6 +790,9 @@
     if (aNews.spread) {
       SpreadOn(aNews, aNow);
     }
+    if (m_large && m_peers.IsNeighbour(aNews.origin)) {
+      NoteForCentre(aNews);
+    }
     for (const AccountWork& work : aNews.accounts) {
       const std::uint32_t more =
         heard.Advance(heard.spent, work.account, work.spent, !first || young);
@@ -764,9 +882,20 @@
   TimePoint m_nextPeerAsk{};
   TimePoint m_lastNews{};
   std::uint64_t m_configCursor = 0;
+  std::string m_encoded; ///< See EncodedConfig.
+  std::uint64_t m_encodedVersion = 0;
   std::uint64_t m_loadedVersion = 0;
   std::uint64_t m_loadedRevision = 0;
   std::uint32_t m_sequence = 0;
+  bool m_large = false; ///< The fleet is large.
+  // What all daemons of this data centre have counted since this one listens.
+  std::map<NodeId, Heard> m_centreHeard;
+  std::map<std::uint32_t, std::uint32_t> m_centreSpent;
+  std::map<std::uint32_t, ServiceWork> m_centreServices;
+  std::set<std::uint32_t> m_centreAccounts;    ///< Not told yet.
+  std::set<std::uint32_t> m_centreServiceNews; ///< Not told yet.
+  std::uint32_t m_centreSequence = 0;
+  TimePoint m_lastCentre{};
   std::size_t m_live = 1;
   std::pair<std::size_t, std::size_t> m_rank{ 0, 1 }; ///< For subsets.
   bool m_readsConfig = false;
@@ -775,6 +904,7 @@
   bool m_listed = false;
   bool m_leaving = false;
   bool m_storeAnswers = false;
+  Duration m_storeTime{ 0 }; ///< That the last read known here took.
 };
 
 } // namespace
--- a/src/sapphirelane/relay/work_board.cpp
+++ b/src/sapphirelane/relay/work_board.cpp
@@ -25,7 +25,7 @@
   m_accounts.clear();
   m_services.clear();
   for (const auto& [id, endpoint] : aConfig.endpoints) {
-    m_endpoints[ShortHash(id)] = { endpoint.service, id };
+    m_endpoints[ShortHash(id)] = { endpoint.service, id, endpoint.data_centre };
   }
   for (const auto& entry : aConfig.accounts) {
     m_accounts[ShortHash(entry.first)] = entry.first;
@@ -115,6 +115,13 @@
   return found == m_accounts.end() ? std::string() : found->second;
 }
 
+std::string
+WorkBoard::CentreOf(std::uint32_t aHash) const
+{
+  auto found = m_endpoints.find(aHash);
+  return found == m_endpoints.end() ? std::string() : found->second.data_centre;
+}
+
 std::string
 WorkBoard::ServiceOf(std::uint32_t aHash) const
 {
--- a/src/sapphirelane/routing/spell_ejector.cpp
+++ b/src/sapphirelane/routing/spell_ejector.cpp
@@ -17,6 +17,15 @@
 constexpr double kSurelySound = 0.2;
 constexpr double kDoubted = 0.5;
 
+/// Steepness with which a spell ends around the usual length.
+constexpr double kSharpness = 5;
+
+/// Times its known length that a spell is taken to last after a failed trial.
+constexpr double kBackOff = 1.3;
+
+/// What a spell that is over says of the length of spells, as a share of it.
+constexpr double kShorter = 0.95;
+
 /// Bounds of a belief, so that it can always be changed by a few results.
 constexpr double kLeastBelief = 0.001;
 constexpr double kMostBelief = 0.995;
@@ -127,11 +136,12 @@
 private:
   struct State
   {
-    double belief = 0; ///< Probability of a spell at the time below.
-    TimePoint time{};
-    TimePoint sound_since{};
-    TimePoint doubted_since{};
+    double belief = 0; ///< Probability of a spell at the last result.
+    TimePoint time{};  ///< Of the last result.
     bool doubted = false;
+    TimePoint onset{};    ///< First failure of the spell, while doubted.
+    TimePoint last_bad{}; ///< Last failure of the spell, while doubted.
+    TimePoint sound_since{};
     bool reported = false;
   };
 
@@ -140,13 +150,29 @@
 
   double BeliefAt(const State& aState, TimePoint aNow) const
   {
-    const double rest = SickShare();
     if (aState.time == TimePoint{}) {
-      return rest;
+      return SickShare();
     }
+    const double old =
+      aState.doubted ? aState.belief * Lasts(aState, aNow) : aState.belief;
     const double age = std::max(0.0, ToSeconds(aNow - aState.time));
     const double rate = 1 / m_sickTime + 1 / m_soundTime;
-    return rest + (aState.belief - rest) * std::exp(-age * rate);
+    const double rest = SickShare();
+    return old + std::max(0.0, rest - old) * (1 - std::exp(-age * rate));
+  }
+
+  /// Probability that a spell goes on, given that it did at its last failure.
+  /// Spells of one service are of like length, so that one is unlikely to be
+  /// over before that and likely to be over soon after.
+  double Lasts(const State& aState, TimePoint aNow) const
+  {
+    const double known = ToSeconds(aState.last_bad - aState.onset);
+    const double scale = std::max(m_sickTime, known * kBackOff);
+    const double age = std::max(known, ToSeconds(aNow - aState.onset));
+    const auto survives = [scale](double aAge) {
+      return 1 / (1 + std::pow(aAge / scale, kSharpness));
+    };
+    return survives(age) / survives(known);
   }
 
   double Weight(WorkResult aResult) const
@@ -158,9 +184,8 @@
   {
     const double ratio = aGood ? (1 - m_sickFailure) / (1 - m_soundFailure)
                                : m_sickFailure / m_soundFailure;
-    const double odds = aState.belief / (1 - aState.belief);
-    const double moved =
-      std::max(odds, kLeastBelief) * std::pow(ratio, aWeight);
+    const double before = std::clamp(aState.belief, kLeastBelief, kMostBelief);
+    const double moved = before / (1 - before) * std::pow(ratio, aWeight);
     aState.belief = std::clamp(moved / (1 + moved), kLeastBelief, kMostBelief);
   }
 
@@ -180,19 +205,42 @@
     if (aState.sound_since == TimePoint{}) {
       aState.sound_since = aNow;
     }
+    if (aGood) {
+      NoteGood(aState, aNow);
+    } else {
+      NoteBad(aState, aNow);
+    }
+  }
+
+  void NoteBad(State& aState, TimePoint aNow)
+  {
     if (!aState.doubted && aState.belief > kDoubted) {
       LearnSound(ToSeconds(aNow - aState.sound_since));
       aState.doubted = true;
-      aState.doubted_since = aNow;
-    } else if (aState.doubted) {
-      LearnSick(ToSeconds(aNow - aState.doubted_since), aGood);
-      if (aGood && aState.belief <= kDoubted) {
-        aState.doubted = false;
-        aState.sound_since = aNow;
+      aState.onset = aNow;
+    }
+    if (aState.doubted) {
+      aState.last_bad = aNow;
+      const double lasted = ToSeconds(aNow - aState.onset);
+      if (lasted > m_sickTime) {
+        LearnSick(lasted, kLearn); // It is longer than that at the least.
       }
     }
   }
 
+  void NoteGood(State& aState, TimePoint aNow)
+  {
+    if (!aState.doubted || aState.belief > kDoubted) {
+      return;
+    }
+    aState.doubted = false;
+    aState.sound_since = aNow;
+    const double lasted = ToSeconds(aNow - aState.onset);
+    // A spell that was over tells little of when it ended; so spells are taken
+    // to be a little shorter until a trial shows that they are not.
+    LearnSick(std::min(lasted, m_sickTime * kShorter), kLearn);
+  }
+
   void LearnSound(double aTime)
   {
     m_soundTime = std::clamp(Towards(m_soundTime, aTime, kLearn),
@@ -200,15 +248,11 @@
                              ToSeconds(m_options.most_sound));
   }
 
-  /// A good result bounds the spell from above, a bad one from below.
-  void LearnSick(double aTime, bool aGood)
+  void LearnSick(double aTime, double aShare)
   {
-    const bool tells = aGood ? aTime < m_sickTime : aTime > m_sickTime;
-    if (tells) {
-      m_sickTime = std::clamp(Towards(m_sickTime, aTime, kLearn),
-                              ToSeconds(m_options.least_sick),
-                              ToSeconds(m_options.most_sick));
-    }
+    m_sickTime = std::clamp(Towards(m_sickTime, aTime, aShare),
+                            ToSeconds(m_options.least_sick),
+                            ToSeconds(m_options.most_sick));
   }
 
   SpellOptions m_options;
