Tell other daemons only of endpoint changes that matter; spread neglected work by arrivals

FLOOR broke where a service has a safe route that nobody uses (its other work never spread), and an end of work counted as an arrival. Ruled out: larger messages (8 KB is the most of a datagram). Change: rows that only say that an endpoint lives are left out, the rest goes in messages that follow on each other; neglect is judged by arrivals; endpoints that failed need no work for 3.4 s; above 7.5% unserved at most 4% of endpoints are idle.

--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -129,6 +129,7 @@
     std::uint32_t kept = 0; ///< Kept connections that are free.
     TimePoint kept_at{};    ///< When the last one was kept.
     TimePoint used{};       ///< When any daemon last had work there.
+    TimePoint bad_at{};     ///< When it last failed work of any daemon.
     bool in_subset = true;
     bool moved = false;
     bool trial_running = false;
@@ -145,6 +146,9 @@
   Candidate CandidateOf(const EndpointState& aState,
                         const PlaceRequest& aRequest,
                         TimePoint aNow) const;
+  static void NoteUse(EndpointState& aState,
+                      const EndpointEvidence& aEvidence,
+                      TimePoint aNow);
   static void NoteLatency(EndpointState& aState,
                           Duration aElapsed,
                           TimePoint aNow);
--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -47,6 +47,11 @@
                      Duration aAge,
                      TimePoint aNow);
 
+  /// @brief Tells whether a change says more than that an endpoint lives.
+  ///
+  /// Endpoints write their entries again and again to show that they live.
+  bool IsNews(const EndpointChange& aChange) const;
+
   /// @brief Drops vanished endpoints whose time to come back is over.
   void Tick(TimePoint aNow);
 
--- a/include/sapphirelane/relay/read_pacer.h
+++ b/include/sapphirelane/relay/read_pacer.h
@@ -21,7 +21,7 @@
   Duration longest = Milliseconds(1000);
   /// Most that a slow store adds, so that its slowness alone makes no other
   /// daemon read.
-  Duration most_store_time = Milliseconds(1500);
+  Duration most_store_time = Milliseconds(500);
   Duration first_retry = Milliseconds(300); ///< After a read that failed.
   Duration longest_retry = Milliseconds(1500);
 };
--- a/src/sapphirelane/config/sheet.cpp
+++ b/src/sapphirelane/config/sheet.cpp
@@ -2,6 +2,7 @@
 
 #include <csv.h>
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
@@ -281,7 +282,11 @@
 FleetConfig
 ReadSheet(const std::string& aName, const std::string& aText)
 {
-  const auto rows = ParseCsv(aName, aText);
+  // Spreadsheets write a byte order mark before the first column's name.
+  constexpr absl::string_view kByteOrderMark = "\xEF\xBB\xBF";
+  const bool marked = absl::StartsWith(aText, kByteOrderMark);
+  const auto rows =
+    ParseCsv(aName, marked ? aText.substr(kByteOrderMark.size()) : aText);
   std::vector<std::string> faults;
   FleetConfig config;
   if (rows.empty()) {
@@ -300,8 +305,11 @@
       aName + ": row " + std::to_string(i + 1), columns, rows[i], faults);
     ReadRow(row, config);
   }
-  for (const std::string& fault : FaultsOf(config)) {
-    faults.push_back(aName + ": " + fault);
+  if (faults.empty()) {
+    // A faulty cell would be told of here once more, without its row.
+    for (const std::string& fault : FaultsOf(config)) {
+      faults.push_back(aName + ": " + fault);
+    }
   }
   if (!faults.empty()) {
     throw SheetError(faults);
--- a/src/sapphirelane/config/sheet_test.cpp
+++ b/src/sapphirelane/config/sheet_test.cpp
@@ -113,5 +113,19 @@
   CHECK(next.keys.count("kb") == 0);
 }
 
+TEST_CASE_METHOD(SheetFixture,
+                 "ReadSheet, byte order mark before the first column, reads "
+                 "the sheet")
+{
+  CHECK(RowsOf(ReadSheet("s.csv", "\xEF\xBB\xBF" + Sheet(m_sound))).size() ==
+        6);
+}
+
+TEST_CASE_METHOD(SheetFixture, "ReadSheet, one fault, tells of it once")
+{
+  CHECK(FaultsOfSheet(Sheet("account,a,,,,,,,-1,20,,,,,\n")).size() == 1);
+  CHECK(FaultsOfSheet(Sheet("service,s,,,,,,150,,,,,,,\n")).size() == 1);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -40,8 +40,12 @@
 constexpr std::uint32_t kMovedEvidence = 3;
 
 /// Share of a service's requests that may fail before neglected endpoints get
-/// work: half of the tenth from which the floor is judged.
-constexpr double kMostShortfall = 0.05;
+/// work: three quarters of the tenth from which the floor is judged.
+constexpr double kMostShortfall = 0.075;
+
+/// Time after which a service that had no safe work here is taken to have none,
+/// whatever its routes allow.
+constexpr Milliseconds kSafeWorkWithin{ 3000 };
 
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -493,8 +497,13 @@
     place.body_bytes = aRequest.head.length.value_or(0);
     place.target = aRequest.route.target;
     place.avoid = aRequest.tried;
-    place.spread = place.may_try &&
-                   m_control.Shortfall(aRequest.service, aNow) > kMostShortfall;
+    if (safe) {
+      service.safe_seen = aNow;
+    }
+    // Safe work serves best to find out how neglected endpoints are.
+    const bool rightWork = safe || aNow - service.safe_seen > kSafeWorkWithin;
+    place.spread =
+      rightWork && m_control.Shortfall(aRequest.service, aNow) > kMostShortfall;
     const auto placed = service.state->Place(place, aNow, m_random);
     if (!placed) {
       return false;
@@ -700,6 +709,14 @@
         m_upstreams.Cancel(attempt.id);
       }
     }
+    const Attempt* attempt = FindAttempt(aRequest, aEvent.id);
+    Log(aId,
+        "answer",
+        "is answered " + std::to_string(head.status) + " by " +
+          attempt->endpoint + " after " +
+          std::to_string(
+            ToMilliseconds(aNow - aRequest.exchange->Head().arrived).count()) +
+          " ms");
     m_metrics.Observe("time_to_head_seconds",
                       { { "service", aRequest.service } },
                       aNow - aRequest.exchange->Head().arrived);
--- a/src/sapphirelane/proxy/service_book.h
+++ b/src/sapphirelane/proxy/service_book.h
@@ -21,7 +21,8 @@
   std::unique_ptr<RequestQueue> queue;
   std::size_t reserved = 0; ///< Slots of requests that await their claim.
   bool has_safe_route = false;
-  TimePoint shared{}; ///< When evidence was last shared.
+  TimePoint safe_seen{}; ///< When safe work was last placed.
+  TimePoint shared{};    ///< When evidence was last shared.
 };
 
 /// @brief All services of the configuration in force.
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -28,11 +28,15 @@
 
 /// Time without work after which an endpoint is neglected: the floor is judged
 /// over 2 s, and the work has to reach the endpoint within them.
-constexpr Milliseconds kNeglectedAfter{ 1200 };
+constexpr Milliseconds kNeglectedAfter{ 1400 };
 
-/// Share of endpoints that may be without work while many requests fail, but
-/// one at the least. The floor allows 0.3 of the sound ones, which may be few.
-constexpr double kMostIdleShare = 0.07;
+/// Time for which an endpoint that has failed work need not get any: it counts
+/// as sound again 2 s later, and is neglected as above from then on.
+constexpr Milliseconds kFailedFor{ 3400 };
+
+/// Share of endpoints that may be without work while many requests fail. The
+/// floor allows 0.3 of the sound ones, which may be few.
+constexpr double kMostIdleShare = 0.04;
 
 /// Hosts from which on daemons know little of endpoints elsewhere, as news of
 /// work stays in its data centre.
@@ -220,8 +224,9 @@
                         TimePoint aNow,
                         Random& aRandom) const
 {
-  const auto counts = [this](const EndpointState& aState) {
+  const auto counts = [this, aNow](const EndpointState& aState) {
     return aState.endpoint.state == LifeState::InService && !aState.moved &&
+           aNow - aState.bad_at > kFailedFor &&
            !(m_large && IsElsewhere(aState));
   };
   const auto isIdle = [aNow](const EndpointState& aState) {
@@ -233,7 +238,7 @@
     all += counts(entry.second) ? 1 : 0;
     idle += counts(entry.second) && isIdle(entry.second) ? 1 : 0;
   }
-  const double most = std::max(1.0, kMostIdleShare * static_cast<double>(all));
+  const double most = kMostIdleShare * static_cast<double>(all);
   if (static_cast<double>(idle) <= most) {
     return std::nullopt;
   }
@@ -380,10 +385,32 @@
     NoteLatency(state, aObservation.elapsed, aNow);
   } else {
     ++state.evidence.bad;
+    state.bad_at = aNow;
     m_badEvidence = true;
   }
 }
 
+/// Takes over how many requests others have at an endpoint, and when the last
+/// one came to it.
+void
+ServiceState::NoteUse(EndpointState& aState,
+                      const EndpointEvidence& aEvidence,
+                      TimePoint aNow)
+{
+  const std::uint32_t before = aState.others_in_flight;
+  aState.others_in_flight = aEvidence.in_flight.value_or(before);
+  const bool begun =
+    aState.others_in_flight > before || aEvidence.bad > 0 || aEvidence.shed > 0;
+  if (aEvidence.bad > 0) {
+    aState.bad_at = aNow;
+  }
+  if (begun) {
+    aState.used = aNow;
+  } else if (aEvidence.answered > 0) {
+    aState.used = std::max(aState.used, aNow - aEvidence.answer_time);
+  }
+}
+
 void
 ServiceState::ObserveFleet(const FleetEvidence& aEvidence, TimePoint aNow)
 {
@@ -393,10 +420,7 @@
       continue;
     }
     EndpointState& state = found->second;
-    if (one.in_flight) {
-      state.others_in_flight = *one.in_flight;
-    }
-    state.used = aNow;
+    NoteUse(state, one, aNow);
     const Observation good{ WorkResult::Answered,
                             one.answer_time,
                             one.answered };
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -106,6 +106,9 @@
   Send(200, request);
   const int twoSeconds = 80;
   CHECK(Send(twoSeconds, request).size() < 8); // Work keeps to proven ones.
+  // They are sound again: 2 s after its last failure an endpoint counts so.
+  m_failing.clear();
+  m_now += std::chrono::seconds(2);
   request.spread = true;
   Send(twoSeconds, request);
   for (int i = 0; i < 4; ++i) {
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <map>
+#include <set>
 #include <sstream>
 
 #include "sapphirelane/admission/key_directory.h"
@@ -69,6 +70,11 @@
   {
   }
 
+  double Shortfall(const std::string& /*aService*/, TimePoint /*aNow*/) override
+  {
+    return shortfall;
+  }
+
   std::vector<ControlEvent> TakeEvents() override
   {
     return std::exchange(events, {});
@@ -79,6 +85,7 @@
   bool fresh = true;
   bool may_send = true;
   int tokens = 100;
+  double shortfall = 0;
   ClaimTable claims{ std::chrono::minutes(10) };
   AskId last = 0;
   std::map<AskId, std::string> ids;
@@ -498,6 +505,8 @@
     options.dialect.expected_endpoint = "Expected";
     options.dialect.receipt = "Receipt";
     options.policies.retry = "fixed-attempts";
+    options.policies.balancer = "expected-cost";
+    options.policies.ejector = "spells";
     m_control.config.routes["read"].attempts = 2;
     m_dispatcher = MakeDispatcher(options, m_control, m_upstreams, *m_metrics);
   }
@@ -602,5 +611,27 @@
   CHECK(m_upstreams.orders.size() == 2);
 }
 
+TEST_CASE_METHOD(
+  PlatformSessionFixture,
+  "Dispatcher, service with a safe route that nobody uses, gives "
+  "neglected endpoints other work while requests fail")
+{
+  // An unused safe route must not keep work that is there from spreading.
+  m_control.shortfall = 0.2;
+  for (int i = 0; i < 6; ++i) {
+    Pass(Milliseconds(600));
+    const auto attempt = m_upstreams.orders.size() + 1;
+    Ask("POST", "/plain/1");
+    const bool first = m_upstreams.orders.back().endpoint == "e1";
+    Head(attempt, first ? 200 : 500, { { "Receipt", "x" } });
+    End(attempt, true);
+  }
+  std::set<std::string> used;
+  for (const AttemptOrder& order : m_upstreams.orders) {
+    used.insert(order.endpoint);
+  }
+  CHECK(used.size() == 3);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -6,6 +6,23 @@
 
 namespace sapphirelane {
 
+namespace {
+
+/// The same in all that matters for placing work.
+bool
+IsSame(const Endpoint& aOne, const Endpoint& aOther)
+{
+  const auto isCold = [](const Endpoint& aEndpoint) {
+    return aEndpoint.cold > Milliseconds::zero();
+  };
+  return aOne.state == aOther.state && aOne.service == aOther.service &&
+         aOne.address == aOther.address && aOne.slots == aOther.slots &&
+         aOne.data_centre == aOther.data_centre &&
+         aOne.lifetime == aOther.lifetime && isCold(aOne) == isCold(aOther);
+}
+
+} // namespace
+
 FleetView::FleetView(FleetViewOptions aOptions)
   : m_options(aOptions)
 {
@@ -63,6 +80,24 @@
   m_asOf = aAsOf;
 }
 
+bool
+FleetView::IsNews(const EndpointChange& aChange) const
+{
+  auto found = m_entries.find(aChange.id);
+  if (found == m_entries.end()) {
+    return aChange.endpoint.has_value();
+  }
+  const Entry& entry = found->second;
+  if (aChange.version <= entry.version) {
+    return false;
+  }
+  const bool there = entry.endpoint && !entry.drop_at;
+  if (!there || !aChange.endpoint) {
+    return there || aChange.endpoint.has_value();
+  }
+  return !IsSame(*entry.endpoint, *aChange.endpoint);
+}
+
 bool
 FleetView::TakeChange(const EndpointChange& aChange, TimePoint aNow)
 {
@@ -76,14 +111,7 @@
   entry.version = aChange.version;
   entry.drop_at.reset();
   const Endpoint& next = *aChange.endpoint;
-  const bool same = entry.endpoint && entry.endpoint->state == next.state &&
-                    entry.endpoint->service == next.service &&
-                    entry.endpoint->address == next.address &&
-                    entry.endpoint->slots == next.slots &&
-                    entry.endpoint->data_centre == next.data_centre &&
-                    entry.endpoint->lifetime == next.lifetime &&
-                    (entry.endpoint->cold > Milliseconds::zero()) ==
-                      (next.cold > Milliseconds::zero());
+  const bool same = entry.endpoint && IsSame(*entry.endpoint, next);
   entry.endpoint = next;
   return !same;
 }
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -1,6 +1,7 @@
 #include "sapphirelane/relay/store_fleet.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -58,7 +59,7 @@
 constexpr std::size_t kMostTokens = 8192;
 
 /// Largest changes that are told in one datagram.
-constexpr std::size_t kMostChanges = 24;
+constexpr std::ptrdiff_t kMostChanges = 24;
 
 WireEndpoint
 ToWire(const EndpointChange& aChange)
@@ -434,11 +435,20 @@
     const EndpointBatch& batch = aResult.endpoints;
     const std::uint64_t base = batch.whole ? 0 : aResult.after;
     const Duration age = aNow - aResult.asked;
+    std::vector<EndpointChange> news;
+    std::copy_if(
+      batch.changes.begin(),
+      batch.changes.end(),
+      std::back_inserter(news),
+      [this](const EndpointChange& aOne) { return m_view.IsNews(aOne); });
     m_view.TakeEndpoints(base, batch.version, batch.changes, age, aNow);
     m_storeTime = age;
     OnViewChanged(aNow, "store");
-    TellView(
-      batch.whole ? batch.version : aResult.after, batch.changes, age, aNow);
+    // After a whole table, those that lack any of it fetch it.
+    TellView(batch.whole ? batch.version : aResult.after,
+             batch.whole ? std::vector<EndpointChange>() : news,
+             age,
+             aNow);
     ReadConfig(); // The store answers, so this one is worth its price.
   }
 
@@ -470,20 +480,33 @@
   // The view.
 
   void TellView(std::uint64_t aBase,
-                const std::vector<EndpointChange>& aChanges,
+                std::vector<EndpointChange> aChanges,
                 Duration aAge,
                 TimePoint aNow)
   {
+    std::sort(aChanges.begin(),
+              aChanges.end(),
+              [](const EndpointChange& aOne, const EndpointChange& aOther) {
+                return aOne.version < aOther.version;
+              });
     ViewNews news;
     news.age_ms = static_cast<std::uint32_t>(ToMilliseconds(aAge).count());
+    news.config_version = m_view.ConfigVersion();
     news.base = aBase;
+    // Each message but the last follows on the one before it, so that one that
+    // is lost leaves a gap that its receiver notices.
+    auto first = aChanges.begin();
+    while (aChanges.end() - first > kMostChanges) {
+      const std::vector<EndpointChange> some(first, first + kMostChanges);
+      news.changes = Converted(some, ToWire);
+      news.version = some.back().version;
+      Spread(news, kRelays, aNow);
+      news.base = news.version;
+      first += kMostChanges;
+    }
+    const std::vector<EndpointChange> rest(first, aChanges.end());
+    news.changes = Converted(rest, ToWire);
     news.version = m_view.Version();
-    news.config_version = m_view.ConfigVersion();
-    if (aChanges.size() <= kMostChanges) {
-      news.changes = Converted(aChanges, ToWire);
-    } else {
-      news.base = news.version; // Those that lack the changes fetch them.
-    }
     Spread(news, kRelays, aNow);
   }
 
--- a/src/sapphirelane/relay/store_fleet_test.cpp
+++ b/src/sapphirelane/relay/store_fleet_test.cpp
@@ -96,6 +96,7 @@
 
   StoreFleet& At(int aDaemon) { return *m_daemons[Index(aDaemon)]->fleet; }
   int Calls() const { return m_calls; }
+  int BulkCalls() const { return m_bulkCalls; }
   TimePoint Now() const { return m_now; }
   int Size() const { return static_cast<int>(m_daemons.size()); }
 
@@ -173,6 +174,7 @@
 
   void Bulk(int aFrom, const BulkCall& aCall)
   {
+    ++m_bulkCalls;
     const int to = NumberAt(aCall.address);
     BulkReply reply;
     if (Reaches(aFrom, to)) {
@@ -232,6 +234,7 @@
   std::uint64_t m_configVersion = 1;
   bool m_away = false;
   int m_calls = 0;
+  int m_bulkCalls = 0;
   int m_lastReader = 0;
 };
 
@@ -257,6 +260,33 @@
   CHECK(world.Calls() - before <= 80); // 8 a second; each alone makes 160.
 }
 
+TEST_CASE(
+  "StoreFleet, many endpoints write that they live, costs no view to be "
+  "fetched and hides no change")
+{
+  FleetWorld world(30, 3);
+  for (int i = 0; i < 300; ++i) {
+    world.SetEndpoint("n" + std::to_string(i), LifeState::InService);
+  }
+  world.Pass(std::chrono::seconds(5));
+  const int before = world.BulkCalls();
+  for (int round = 0; round < 5; ++round) {
+    for (int i = 0; i < 300; ++i) {
+      world.SetEndpoint("n" + std::to_string(i), LifeState::InService);
+    }
+    world.Pass(Milliseconds(1500));
+  }
+  CHECK(world.BulkCalls() == before);
+  // More changes than one message holds.
+  for (int i = 0; i < 60; ++i) {
+    world.SetEndpoint("n" + std::to_string(i), LifeState::Leaving);
+  }
+  world.SetEndpoint("e0", LifeState::Leaving);
+  world.Pass(kKnownWithin);
+  CHECK(world.Missing(KnowsLeaving) == 0);
+  CHECK(world.BulkCalls() == before);
+}
+
 TEST_CASE("StoreFleet, endpoint leaves as the reader dies, all know in time")
 {
   FleetWorld world(32, 3);
