Send the messages of one view over the same relays

Change: relays are drawn once for all messages of a view. Spreading above 9% unserved, as the rule begins at 10%; a tenth of the endpoints may be idle.

--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -40,8 +40,8 @@
 constexpr std::uint32_t kMovedEvidence = 3;
 
 /// Share of a service's requests that may fail before neglected endpoints get
-/// work: three quarters of the tenth from which the floor is judged.
-constexpr double kMostShortfall = 0.075;
+/// work: a little less than the tenth from which the floor is judged.
+constexpr double kMostShortfall = 0.09;
 
 /// Time after which a service that had no safe work here is taken to have none,
 /// whatever its routes allow.
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -36,7 +36,7 @@
 
 /// Share of endpoints that may be without work while many requests fail. The
 /// floor allows 0.3 of the sound ones, which may be few.
-constexpr double kMostIdleShare = 0.04;
+constexpr double kMostIdleShare = 0.1;
 
 /// Hosts from which on daemons know little of endpoints elsewhere, as news of
 /// work stays in its data centre.
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -493,6 +493,8 @@
     news.age_ms = static_cast<std::uint32_t>(ToMilliseconds(aAge).count());
     news.config_version = m_view.ConfigVersion();
     news.base = aBase;
+    // All messages take the same way, so that they keep their order.
+    const auto relays = m_peers.Relays(kRelays, aNow, m_random);
     // Each message but the last follows on the one before it, so that one that
     // is lost leaves a gap that its receiver notices.
     auto first = aChanges.begin();
@@ -500,20 +502,22 @@
       const std::vector<EndpointChange> some(first, first + kMostChanges);
       news.changes = Converted(some, ToWire);
       news.version = some.back().version;
-      Spread(news, kRelays, aNow);
+      Spread(news, relays, aNow);
       news.base = news.version;
       first += kMostChanges;
     }
     const std::vector<EndpointChange> rest(first, aChanges.end());
     news.changes = Converted(rest, ToWire);
     news.version = m_view.Version();
-    Spread(news, kRelays, aNow);
+    Spread(news, relays, aNow);
   }
 
   /// Sends to all daemons of this data centre and to some of each other one,
   /// which send it on in theirs.
   template<typename News>
-  void Spread(News aNews, std::size_t aRelays, TimePoint aNow)
+  void Spread(News aNews,
+              const std::vector<std::string>& aRelays,
+              TimePoint aNow)
   {
     aNews.spread = false;
     const PeerMessage near = aNews;
@@ -522,7 +526,7 @@
     }
     aNews.spread = true;
     const PeerMessage far = aNews;
-    for (const std::string& address : m_peers.Relays(aRelays, aNow, m_random)) {
+    for (const std::string& address : aRelays) {
       m_env.Send(address, far);
     }
   }
@@ -712,7 +716,7 @@
     news.sequence = ++m_sequence;
     m_lastNews = aNow;
     if (!m_large) {
-      Spread(std::move(news), aRelays, aNow);
+      Spread(std::move(news), m_peers.Relays(aRelays, aNow, m_random), aNow);
       return;
     }
     NoteForCentre(news);
