Give an endpoint that joins the next work that suits it

Change: one that nobody has tried comes before the balancer's choice, for safe work, or any work where there is no safe work. Test: it gets one of the next four requests.

--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -21,6 +21,7 @@
   bool repeatable = false; ///< A failure can be mended by another attempt.
   std::uint64_t body_bytes = 0;
   Duration target{ 0 };           ///< Latency aimed at; 0 for none.
+  bool explores = false;          ///< Suits an endpoint nobody has tried yet.
   bool spread = false;            ///< Neglected endpoints come first.
   std::vector<std::string> avoid; ///< Endpoints that it was sent to before.
 };
@@ -136,6 +137,8 @@
     EndpointEvidence evidence;
   };
 
+  std::optional<std::size_t> Newcomer(
+    const std::vector<Candidate>& aCandidates) const;
   std::optional<std::size_t> Neglected(
     const std::vector<Candidate>& aCandidates,
     TimePoint aNow,
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -502,6 +502,7 @@
     }
     // Safe work serves best to find out how neglected endpoints are.
     const bool rightWork = safe || aNow - service.safe_seen > kSafeWorkWithin;
+    place.explores = rightWork;
     place.spread =
       rightWork && m_control.Shortfall(aRequest.service, aNow) > kMostShortfall;
     const auto placed = service.state->Place(place, aNow, m_random);
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -202,10 +202,12 @@
     (used ? avoided : candidates).push_back(CandidateOf(state, aRequest, aNow));
   }
   const auto& choice = candidates.empty() ? avoided : candidates;
-  const auto neglected =
-    aRequest.spread ? Neglected(choice, aNow, aRandom) : std::nullopt;
+  auto special = aRequest.explores ? Newcomer(choice) : std::nullopt;
+  if (!special && aRequest.spread) {
+    special = Neglected(choice, aNow, aRandom);
+  }
   const auto index =
-    neglected ? neglected : m_balancer->Pick(choice, aNow, aRandom);
+    special ? special : m_balancer->Pick(choice, aNow, aRandom);
   if (!index) {
     return std::nullopt;
   }
@@ -213,10 +215,26 @@
   return Placement{ state.endpoint.id,
                     state.endpoint.address,
                     false,
-                    (neglected ? "neglected, one of " : "least cost of ") +
+                    (special ? "without work, one of " : "least cost of ") +
                       std::to_string(choice.size()) };
 }
 
+/// An endpoint that has joined while this daemon runs and that nobody has given
+/// any work. What is proven would be preferred to it for ever.
+std::optional<std::size_t>
+ServiceState::Newcomer(const std::vector<Candidate>& aCandidates) const
+{
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const EndpointState& state = m_endpoints.at(aCandidates[i].id);
+    const bool unused = state.used == TimePoint{} && state.in_flight == 0;
+    if (unused && aCandidates[i].in_service_for < kWarm &&
+        !(m_large && IsElsewhere(state))) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
 /// While many requests of the service fail, few of its endpoints may go without
 /// work. Draws one of them, so that daemons do not all choose the same.
 std::optional<std::size_t>
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -116,5 +116,18 @@
   }
 }
 
+TEST_CASE_METHOD(
+  ServiceLoadFixture,
+  "ServiceState, endpoint joins beside proven ones, gets work at "
+  "once")
+{
+  PlaceRequest request;
+  request.explores = true;
+  Send(200, request);
+  Add("new", 2);
+  m_state->Load(m_config, "s", 0, 1, m_now);
+  CHECK(Send(4, request).count("new") == 1);
+}
+
 } // namespace
 } // namespace sapphirelane
