--- a/include/sapphirelane/proxy/stream_body.h
+++ b/include/sapphirelane/proxy/stream_body.h
@@ -13,12 +13,13 @@
 /// @brief Body of the HTTP library's parser that collects what was decoded.
 ///
 /// The bytes are taken out after each step of the parser, so that a body of any
-/// size needs no more memory than one step.
+/// size needs no more memory than one step. The library looks for the names of
+/// the class and its methods.
 struct StreamBody
 {
   using value_type = std::string;
 
-  class reader // The library looks for this name.
+  class reader // NOLINT(readability-identifier-naming)
   {
   public:
     template<bool isRequest, typename Fields>
@@ -28,6 +29,7 @@
     {
     }
 
+    // NOLINTNEXTLINE(readability-identifier-naming)
     void init(const boost::optional<std::uint64_t>& /*aLength*/,
               boost::beast::error_code& aError)
     {
@@ -35,6 +37,7 @@
     }
 
     template<typename Buffers>
+    // NOLINTNEXTLINE(readability-identifier-naming)
     std::size_t put(const Buffers& aBuffers, boost::beast::error_code& aError)
     {
       aError = {};
@@ -46,6 +49,7 @@
       return size;
     }
 
+    // NOLINTNEXTLINE(readability-identifier-naming)
     void finish(boost::beast::error_code& aError) { aError = {}; }
 
   private:
--- a/src/sapphirelane/proxy/caller_front.cpp
+++ b/src/sapphirelane/proxy/caller_front.cpp
@@ -38,15 +38,15 @@
 class AsioFront : public CallerFront
 {
 public:
-  AsioFront(const CallerFrontOptions& aOptions,
+  AsioFront(CallerFrontOptions aOptions,
             std::function<bool(ExchangePtr)> aOnRequest)
-    : m_options(aOptions)
+    : m_options(std::move(aOptions))
     , m_acceptor(m_io)
     , m_checkTimer(m_io)
   {
-    m_context.limits = LimitsOf(aOptions.limits);
-    m_context.dialect = aOptions.dialect;
-    m_context.next_request = aOptions.first_request;
+    m_context.limits = LimitsOf(m_options.limits);
+    m_context.dialect = m_options.dialect;
+    m_context.next_request = m_options.first_request;
     m_context.on_request = std::move(aOnRequest);
     Listen();
     Accept();
@@ -212,7 +212,8 @@
 MakeCallerFront(CallerFrontOptions aOptions,
                 std::function<bool(ExchangePtr)> aOnRequest)
 {
-  return std::make_unique<AsioFront>(aOptions, std::move(aOnRequest));
+  return std::make_unique<AsioFront>(std::move(aOptions),
+                                     std::move(aOnRequest));
 }
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/loopback.h
+++ b/src/sapphirelane/proxy/loopback.h
@@ -47,7 +47,7 @@
     const std::size_t at = m_read.find(aText);
     const std::size_t size =
       at == std::string::npos ? m_read.size() : at + aText.size();
-    const std::string taken = m_read.substr(0, size);
+    std::string taken = m_read.substr(0, size);
     m_read.erase(0, size);
     return taken;
   }
--- a/src/sapphirelane/relay/store_fleet_test.cpp
+++ b/src/sapphirelane/relay/store_fleet_test.cpp
@@ -36,7 +36,7 @@
                        "centre-" + std::to_string(i % aCentres),
                        Address(i) };
       options.started_ms = 1;
-      options.seed = static_cast<std::uint64_t>(i + 1);
+      options.seed = options.self.id;
       daemon->fleet = MakeStoreFleet(options, *daemon);
       m_daemons.push_back(std::move(daemon));
     }
