Let a lost answer about the configuration keep nobody on an old one

Ruled out: the time of decoding (40 ms); fetching from neighbours (1 to 5 ms). Change: a view is fresh only if both reads were answered, the configuration first; news of a newer version goes on even where it is not held, and whoever lacks it after 250 to 400 ms reads the store itself and tries again each 150 ms.

--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -507,12 +507,14 @@
   std::uint64_t base = 0;    ///< The changes follow on this version.
   std::uint64_t version = 0; ///< Of the endpoints, with the changes.
   std::vector<WireEndpoint> changes;
-  std::uint64_t config_version = 0; ///< The newest that the sender holds.
+  std::uint64_t config_version = 0; ///< The newest that the sender knows of.
+  std::uint64_t held_config = 0;    ///< The newest that it holds.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(spread, age_ms, base, version, changes, config_version);
+    aArchive(
+      spread, age_ms, base, version, changes, config_version, held_config);
   }
 };
 
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -45,8 +45,13 @@
 constexpr Milliseconds kAskPeerAfter{ 1300 };
 constexpr Milliseconds kAskPeerPeriod{ 1000 };
 
-/// Time for a neighbour to give a new configuration before the store is asked.
-constexpr Milliseconds kPeerPatience{ 300 };
+/// Time for a neighbour to read a new configuration and to give it on, before a
+/// daemon reads it itself, and the random part of it.
+constexpr Milliseconds kConfigPatience{ 250 };
+constexpr int kConfigJitterMs = 150;
+
+/// Between two reads of a configuration that is known to be there.
+constexpr Milliseconds kConfigRetry{ 150 };
 
 /// Sequence up to which a daemon's counters are taken whole when it is first
 /// heard; beyond it, it counted before this daemon listened.
@@ -297,11 +302,9 @@
     }
     m_peerCall = 0;
     const auto* view = aReply ? std::get_if<ViewReply>(&*aReply) : nullptr;
-    if (view == nullptr || !view->known) {
-      m_wantsConfig = m_wantsConfig || m_askedForConfig;
-      return;
+    if (view != nullptr && view->known) {
+      TakeView(*view, aNow);
     }
-    TakeView(*view, aNow);
   }
 
   BulkMessage ServeBulk(const BulkMessage& aRequest, TimePoint aNow) override
@@ -386,23 +389,21 @@
     const std::size_t order = m_peers.Order(aNow);
     const bool due = m_pacer.IsDue(m_view.Age(aNow), order, m_storeTime, aNow);
     if (due) {
+      // First the configuration, so that a view counts as fresh, and others
+      // rely on this daemon, only if both were read.
       m_pacer.Begin(aNow);
-      SourceCall call;
-      call.kind = SourceCall::Kind::ReadEndpoints;
-      call.after = m_view.Version();
-      m_env.CallSource(call);
-    } else if (m_wantsConfig ||
-               (m_peerCall != 0 && m_askedForConfig &&
-                aNow >= m_peerCallUntil - kAskPeerPeriod + kPeerPatience)) {
-      // A neighbour that many ask may be slow to answer.
-      m_askedForConfig = false;
+      m_readsBoth = true;
+      ReadConfig();
+    }
+    const bool behind = m_newestConfig > m_view.ConfigVersion();
+    if (behind && aNow >= m_nextConfigTry) {
+      m_nextConfigTry = aNow + kConfigRetry;
       ReadConfig();
     }
   }
 
   void ReadConfig()
   {
-    m_wantsConfig = false;
     if (m_readsConfig) {
       return;
     }
@@ -449,15 +450,24 @@
              batch.whole ? std::vector<EndpointChange>() : news,
              age,
              aNow);
-    ReadConfig(); // The store answers, so this one is worth its price.
   }
 
   void OnConfigRead(const SourceResult& aResult, TimePoint aNow)
   {
     m_readsConfig = false;
+    const bool goesOn = std::exchange(m_readsBoth, false);
     if (!aResult.answered) {
+      if (goesOn) {
+        m_pacer.End(false, m_peers.Order(aNow), aNow, m_random);
+      }
       return;
     }
+    if (goesOn) {
+      SourceCall call;
+      call.kind = SourceCall::Kind::ReadEndpoints;
+      call.after = m_view.Version();
+      m_env.CallSource(call);
+    }
     m_configCursor = std::max(m_configCursor, aResult.config.version);
     if (aResult.config.config && m_view.TakeConfig(*aResult.config.config)) {
       OnViewChanged(aNow, "store");
@@ -491,7 +501,8 @@
               });
     ViewNews news;
     news.age_ms = static_cast<std::uint32_t>(ToMilliseconds(aAge).count());
-    news.config_version = m_view.ConfigVersion();
+    news.held_config = m_view.ConfigVersion();
+    news.config_version = std::max(m_newestConfig, news.held_config);
     news.base = aBase;
     // All messages take the same way, so that they keep their order.
     const auto relays = m_peers.Relays(kRelays, aNow, m_random);
@@ -556,20 +567,29 @@
     OnViewChanged(aNow, "peer");
     if (aNews.spread) {
       ViewNews own = aNews;
-      own.config_version = m_view.ConfigVersion();
+      own.held_config = m_view.ConfigVersion();
       SpreadOn(own, aNow);
     }
-    const bool newConfig = aNews.config_version > m_view.ConfigVersion();
-    if (!newConfig && follows) {
-      return;
-    }
     const bool near =
       m_peers.DataCentreAt(aAddress) == m_options.self.data_centre;
-    if (near) {
-      FetchFrom(aAddress, newConfig, aNow);
-    } else if (newConfig) {
-      m_wantsConfig = true;
+    NoteConfig(aNews.config_version, near, aNow);
+    const bool held = aNews.held_config > m_view.ConfigVersion();
+    if (near && (held || !follows)) {
+      FetchFrom(aAddress, aNow);
+    }
+  }
+
+  /// There is a newer configuration. A daemon that spreads it in its data
+  /// centre reads it at once; the others give it time to do so.
+  void NoteConfig(std::uint64_t aVersion, bool aNear, TimePoint aNow)
+  {
+    if (aVersion <= std::max(m_newestConfig, m_view.ConfigVersion())) {
+      return;
     }
+    m_newestConfig = aVersion;
+    std::uniform_int_distribution<int> jitter(0, kConfigJitterMs);
+    m_nextConfigTry =
+      aNear ? aNow + kConfigPatience + Milliseconds(jitter(m_random)) : aNow;
   }
 
   /// Asks a daemon that cannot be read from the store for its view.
@@ -589,18 +609,17 @@
     }
     if (!addresses.empty()) {
       std::uniform_int_distribution<std::size_t> draw(0, addresses.size() - 1);
-      FetchFrom(addresses[draw(m_random)], false, aNow);
+      FetchFrom(addresses[draw(m_random)], aNow);
     }
   }
 
-  void FetchFrom(const std::string& aAddress, bool aForConfig, TimePoint aNow)
+  void FetchFrom(const std::string& aAddress, TimePoint aNow)
   {
     if (m_peerCall != 0 && aNow < m_peerCallUntil) {
       return;
     }
     m_peerCall = ++m_lastCall;
     m_peerCallUntil = aNow + kAskPeerPeriod;
-    m_askedForConfig = aForConfig;
     BulkCall call;
     call.id = m_peerCall;
     call.address = aAddress;
@@ -903,12 +922,13 @@
   std::uint64_t m_lastCall = 0;
   std::uint64_t m_peerCall = 0; ///< Under way; 0 for none.
   TimePoint m_peerCallUntil{};
-  bool m_askedForConfig = false;
   TimePoint m_nextAnnounce{};
   TimePoint m_nextPresence{};
   TimePoint m_nextPeerAsk{};
   TimePoint m_lastNews{};
   std::uint64_t m_configCursor = 0;
+  std::uint64_t m_newestConfig = 0; ///< Version that a daemon has told of.
+  TimePoint m_nextConfigTry{};
   std::string m_encoded; ///< See EncodedConfig.
   std::uint64_t m_encodedVersion = 0;
   std::uint64_t m_loadedVersion = 0;
@@ -926,7 +946,7 @@
   std::size_t m_live = 1;
   std::pair<std::size_t, std::size_t> m_rank{ 0, 1 }; ///< For subsets.
   bool m_readsConfig = false;
-  bool m_wantsConfig = false;
+  bool m_readsBoth = false; ///< Endpoints are read after the configuration.
   bool m_written = false;
   bool m_listed = false;
   bool m_leaving = false;
--- a/src/sapphirelane/relay/store_fleet_test.cpp
+++ b/src/sapphirelane/relay/store_fleet_test.cpp
@@ -84,6 +84,14 @@
   void Refuse(int aDaemon) { m_daemons[Index(aDaemon)]->refused = true; }
   void StoreAway(bool aAway) { m_away = aAway; }
 
+  /// The store's next answer about the configuration to each daemon is lost.
+  void LoseConfigReads()
+  {
+    for (int i = 0; i < Size(); ++i) {
+      m_losing.insert(i);
+    }
+  }
+
   /// @return Daemons that live and for which something does not hold.
   int Missing(const std::function<bool(StoreFleet&)>& aHolds)
   {
@@ -193,6 +201,9 @@
     result.after = aCall.after;
     result.asked = m_now;
     result.answered = !m_away && !m_daemons[Index(aFrom)]->refused;
+    const bool lost =
+      aCall.kind == SourceCall::Kind::ReadConfig && m_losing.erase(aFrom) == 1;
+    result.answered = result.answered && !lost;
     if (result.answered && aCall.kind == SourceCall::Kind::ReadEndpoints) {
       m_lastReader = aFrom;
       result.endpoints.whole = aCall.after == 0;
@@ -217,7 +228,8 @@
         result.hosts.push_back(entry.second);
       }
     }
-    After(Milliseconds(4), [this, aFrom, result] {
+    const Duration time = lost ? Milliseconds(600) : Milliseconds(4);
+    After(time, [this, aFrom, result] {
       if (!m_daemons[Index(aFrom)]->dead) {
         m_daemons[Index(aFrom)]->fleet->OnSource(result, m_now);
       }
@@ -233,6 +245,7 @@
   std::uint64_t m_version = 1;
   std::uint64_t m_configVersion = 1;
   bool m_away = false;
+  std::set<int> m_losing; ///< Daemons that lose an answer.
   int m_calls = 0;
   int m_bulkCalls = 0;
   int m_lastReader = 0;
@@ -297,6 +310,20 @@
   CHECK(world.Missing(KnowsLeaving) == 0);
 }
 
+TEST_CASE(
+  "StoreFleet, an answer about the configuration is lost to each daemon, "
+  "all know a new one in time")
+{
+  FleetWorld world(32, 3);
+  world.Pass(std::chrono::seconds(5));
+  world.LoseConfigReads();
+  world.SetConfig(2);
+  world.Pass(kKnownWithin);
+  CHECK(world.Missing([](StoreFleet& aFleet) {
+    return aFleet.Config()->version == 2;
+  }) == 0);
+}
+
 TEST_CASE("StoreFleet, a daemon that hears nobody, knows in time")
 {
   FleetWorld world(16, 3);
