Refuse paths and host names that are no printable text

Ruled out: ids, services and callers, which are checked by their characters. Change: a route's path and host hold printable ASCII only. Test: such a sheet has one fault.

--- a/src/sapphirelane/config/fleet.cpp
+++ b/src/sapphirelane/config/fleet.cpp
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
+#include <cctype>
 #include <cmath>
 #include <optional>
 
@@ -270,6 +272,15 @@
   return true;
 }
 
+/// Other bytes could not be written as JSON, nor matched with a request.
+bool
+IsPrintable(const std::string& aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    return std::isgraph(aByte) != 0 && aByte < 0x7F;
+  });
+}
+
 /// Collects the faults of one configuration.
 class FaultFinder
 {
@@ -352,6 +363,9 @@
     Expect(!aRoute.path.empty() && aRoute.path.front() == '/', [&] {
       return name() + "path \"" + aRoute.path + "\" does not start with \"/\"";
     });
+    Expect(IsPrintable(aRoute.path) && IsPrintable(aRoute.host), [&] {
+      return name() + "path or host holds other than printable ASCII";
+    });
     Expect(aRoute.timeout > Milliseconds::zero(),
            [&] { return name() + "timeout is 0"; });
     Expect(!(aRoute.open && aRoute.mode == RouteMode::RunOnce),
--- a/src/sapphirelane/config/sheet_test.cpp
+++ b/src/sapphirelane/config/sheet_test.cpp
@@ -127,5 +127,13 @@
   CHECK(FaultsOfSheet(Sheet("service,s,,,,,,150,,,,,,,\n")).size() == 1);
 }
 
+TEST_CASE_METHOD(SheetFixture,
+                 "ReadSheet, path with bytes that are no text, is a fault")
+{
+  std::string sheet = m_sound;
+  sheet.replace(sheet.find("/scripts"), 8, "/scri\xFF\xFF");
+  CHECK(FaultsOfSheet(Sheet(sheet)).size() == 1);
+}
+
 } // namespace
 } // namespace sapphirelane
