Remove a time of a peer that nobody reads

Cause: PeerBook kept when a daemon was heard itself, apart from when it or its neighbours were; nothing asks for it. Ruled out: using it for liveness, which takes the neighbours' word on purpose. Change: the field is gone, behaviour is as before.

--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -95,7 +95,6 @@
     MemberInfo info;
     std::uint64_t started_ms = 0;
     TimePoint heard{};  ///< Itself, or a live neighbour of it.
-    TimePoint direct{}; ///< Itself.
     TimePoint listed{}; ///< By the store, while it was never heard.
     bool leaving = false;
   };
--- a/src/sapphirelane/relay/peer_book.cpp
+++ b/src/sapphirelane/relay/peer_book.cpp
@@ -60,7 +60,6 @@
   peer.started_ms = aNews.started_ms;
   peer.leaving = aNews.leaving;
   peer.heard = aNow;
-  peer.direct = aNow;
   m_hosts[peer.info.id] = peer.info.host;
   if (aNews.self.data_centre != m_self.data_centre) {
     for (auto& entry : m_peers) {
