Log decisions as fields, on a thread of its own, within bounds

Cause: log lines were sentences without the inputs of a decision, a failed first attempt's status stood nowhere, and a reader that stopped reading stopped the daemon, since each line was written by the thread that decides. Ruled out: dropping lines at the library (it has no bound and blocks); one bound for all parts (a flood of [route] would hide [admit]). Each attempt tells the endpoint's failure probability, requests in flight, latency, and the version and age of the view; a failed attempt tells its status; a request that waits is told of.

--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -95,6 +95,12 @@
   /// @brief Tells whether the configuration is known to be the newest.
   virtual bool IsFresh(TimePoint aNow) const = 0;
 
+  /// @brief Age of what is known of endpoints; nothing if it does not age.
+  virtual std::optional<Duration> ViewAge(TimePoint /*aNow*/) const
+  {
+    return std::nullopt;
+  }
+
   /// @brief The daemon's place among the fleet's members, and their number.
   virtual std::pair<std::size_t, std::size_t> Rank() const = 0;
 
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "sapphirelane/base/log.h"
 #include "sapphirelane/config/fleet.h"
 #include "sapphirelane/membership/fleet_control.h"
 #include "sapphirelane/routing/balancer.h"
@@ -32,7 +33,7 @@
   std::string endpoint;
   std::string address;
   bool trial = false; ///< The endpoint is ejected and gets a trial.
-  std::string reason; ///< For the log.
+  LogFields inputs;   ///< What the choice rests on, for the log.
 };
 
 /// @brief Options of a service's state.
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -115,10 +115,10 @@
         log = requests_on(fleet, name)
         out = {}
         for line in log.splitlines():
-            found = re.search(r"Endpoint (\S+) of scripts is (ejected|back)",
-                              line)
+            found = re.search(r"endpoint=(\S+) service=scripts "
+                              r"standing=(out|in)", line)
             if found:
-                out[found.group(1)] = found.group(2) == "ejected"
+                out[found.group(1)] = found.group(2) == "out"
                 least = min(least, 6 - sum(out.values()))
                 if found.group(1) == "scripts-3" and out["scripts-3"]:
                     times.append(line[11:23])
--- a/src/sapphirelane/programs/entry.cpp
+++ b/src/sapphirelane/programs/entry.cpp
@@ -20,6 +20,9 @@
 constexpr int kExitSettings = 3;
 constexpr int kExitCutOff = 4;
 
+/// Longest wait at the end for a log that nobody reads.
+constexpr sapphirelane::Milliseconds kLogPatience{ 500 };
+
 /// Checks a settings file that may have changed. Listeners and links keep what
 /// they were started with, so that no request is cut off.
 void
@@ -32,8 +35,8 @@
                           "them takes effect at the next start.");
   } catch (const sapphirelane::ConfigError& error) {
     sapphirelane::LogLine("entry",
-                          std::string("The settings on file are not sound: ") +
-                            error.what());
+                          "The settings on file are not sound.",
+                          sapphirelane::LogFields().Add("error", error.what()));
   }
 }
 
@@ -55,7 +58,10 @@
     CheckAgain(aFile);
     sigwait(&signals, &signal);
   }
-  return app->StopPlanned() ? kExitOk : kExitCutOff;
+  const bool finished = app->StopPlanned();
+  app.reset();
+  sapphirelane::CloseLog(kLogPatience);
+  return finished ? kExitOk : kExitCutOff;
 }
 
 int
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -61,12 +61,6 @@
   return options;
 }
 
-std::string
-Quoted(const std::string& aText)
-{
-  return "\"" + aText + "\"";
-}
-
 class RequestDispatcher : public Dispatcher
 {
 public:
@@ -115,6 +109,7 @@
     }
     TakeControlEvents(aNow);
     Serve(service, aNow);
+    LogIfWaiting(id, aNow);
   }
 
   void OnAttempt(const AttemptEvent& aEvent, TimePoint aNow) override
@@ -301,7 +296,10 @@
         head.headers.emplace_back("Content-Type", aReply.answer.content_type);
       }
       aRequest.exchange->AnswerWhole(head, aReply.answer.body);
-      Log(aId, "claim", "is a repeat and gets the first answer");
+      Log(aId,
+          "claim",
+          "The request is a repeat and gets the first answer.",
+          Subject(aId));
       m_metrics.Count("repeats_total", { { "answer", "replayed" } });
       Finish(aId, aNow);
       return;
@@ -367,6 +365,23 @@
     return std::max(kLeast, ToMilliseconds(std::min(aWait, most)));
   }
 
+  void LogIfWaiting(std::uint64_t aId, TimePoint aNow)
+  {
+    auto held = m_requests.find(aId);
+    if (held == m_requests.end() || held->second.stage != Stage::Queued) {
+      return;
+    }
+    const ServiceEntry& service = m_services.At(held->second.service);
+    const std::size_t waiting = service.queue->Size();
+    Log(aId,
+        "queue",
+        "The request waits for a slot.",
+        Subject(aId)
+          .Add("waiting", std::uint64_t{ waiting })
+          .Add("expected_ms", service.state->ExpectedWait(waiting))
+          .Add(Beliefs(aNow)));
+  }
+
   /// Serves the queue of a service while it has slots.
   void Serve(const std::string& aService, TimePoint aNow)
   {
@@ -532,8 +547,13 @@
     ShareWork(aRequest, attempt.endpoint, report, aNow);
     Log(aId,
         "route",
-        "goes to " + placed->endpoint + " as attempt " +
-          std::to_string(aRequest.attempts_made) + ": " + placed->reason);
+        "The request goes to an endpoint.",
+        Subject(aId)
+          .Add("endpoint", placed->endpoint)
+          .Add("attempt", aRequest.attempts_made)
+          .Add(placed->inputs)
+          .Add(Beliefs(aNow))
+          .Add("left_ms", aRequest.deadline - aNow));
     m_metrics.Count("attempts_total", { { "service", aRequest.service } });
     m_upstreams.Start(OrderOf(aRequest, attempt, placed->address, aNow));
     return true;
@@ -637,7 +657,7 @@
         state.NoteMoved(attempt->endpoint);
         attempt->moved = true;
       }
-      OnShed(aId, aRequest, *attempt, aNow);
+      OnShed(aId, aRequest, *attempt, aEvent.head.status, aNow);
       return;
     }
     const bool unproven = IsUnproven(aEvent.head);
@@ -654,6 +674,16 @@
       return;
     }
     const bool otherRuns = aRequest.attempts.size() > 1;
+    if (failed) {
+      Log(aId,
+          "route",
+          "The endpoint failed the request.",
+          Subject(aId)
+            .Add("endpoint", attempt->endpoint)
+            .Add("status", aEvent.head.status)
+            .Add("receipt", unproven ? "missing" : "there")
+            .Add("elapsed_ms", elapsed));
+    }
     if (failed && IsSafe(aRequest) &&
         (otherRuns || RetryInstead(aId, aRequest, aNow))) {
       m_upstreams.Cancel(aEvent.id);
@@ -713,11 +743,12 @@
     const Attempt* attempt = FindAttempt(aRequest, aEvent.id);
     Log(aId,
         "answer",
-        "is answered " + std::to_string(head.status) + " by " +
-          attempt->endpoint + " after " +
-          std::to_string(
-            ToMilliseconds(aNow - aRequest.exchange->Head().arrived).count()) +
-          " ms");
+        "The request is answered.",
+        Subject(aId)
+          .Add("status", head.status)
+          .Add("endpoint", attempt->endpoint)
+          .Add("attempts", aRequest.attempts_made)
+          .Add("elapsed_ms", aNow - aRequest.exchange->Head().arrived));
     m_metrics.Observe("time_to_head_seconds",
                       { { "service", aRequest.service } },
                       aNow - aRequest.exchange->Head().arrived);
@@ -729,13 +760,20 @@
   void OnShed(std::uint64_t aId,
               const PendingRequest& aRequest,
               Attempt& aAttempt,
+              int aStatus,
               TimePoint aNow)
   {
     aAttempt.shed = true;
     ServiceState& state = *m_services.At(aRequest.service).state;
     state.Observe(
       aAttempt.endpoint, { WorkResult::Shed, aNow - aAttempt.started }, aNow);
-    Log(aId, "route", "was shed by " + aAttempt.endpoint);
+    Log(aId,
+        "route",
+        "The endpoint did not run the request.",
+        Subject(aId)
+          .Add("endpoint", aAttempt.endpoint)
+          .Add("status", aStatus)
+          .Add("elapsed_ms", aNow - aAttempt.started));
     m_metrics.Count("sheds_total", { { "service", aRequest.service } });
     // The attempt must have ended before its body is read once more.
     m_upstreams.Cancel(aAttempt.id);
@@ -818,16 +856,25 @@
       state.Observe(
         attempt.endpoint, { WorkResult::Failed, aNow - attempt.started }, aNow);
     }
-    OnFailure(aId, aRequest, aEvent, aNow);
+    OnFailure(aId, aRequest, attempt, aEvent, aNow);
   }
 
   /// The last running attempt failed before any answer.
   void OnFailure(std::uint64_t aId,
                  PendingRequest& aRequest,
+                 const Attempt& aAttempt,
                  const AttemptEvent& aEvent,
                  TimePoint aNow)
   {
-    Log(aId, "route", "failed: " + aEvent.error);
+    Log(aId,
+        "route",
+        "The attempt failed.",
+        Subject(aId)
+          .Add("endpoint", aAttempt.endpoint)
+          .Add("error", aEvent.error)
+          .Add("elapsed_ms", aNow - aAttempt.started)
+          .Add("sent", aEvent.sent ? "yes" : "no")
+          .Add("may_have_run", aRequest.left ? "yes" : "no"));
     if (!aEvent.sent && !aEvent.caller_fault &&
         aRequest.attempts_made < kMostPlacings && aNow < aRequest.deadline &&
         TryAttempt(aId, aRequest, aNow)) {
@@ -864,7 +911,10 @@
   {
     if (!aEvent.whole) {
       aRequest.exchange->UpstreamBreak();
-      Log(aId, "route", "broke off within its answer: " + aEvent.error);
+      Log(aId,
+          "answer",
+          "The endpoint broke its answer off.",
+          Subject(aId).Add("error", aEvent.error));
       m_metrics.Count("answers_broken_total",
                       { { "service", aRequest.service } });
     }
@@ -1011,7 +1061,12 @@
                TimePoint aNow)
   {
     m_metrics.Count("abandoned_total", { { "service", aRequest.service } });
-    Log(aId, "route", "was abandoned by its caller");
+    Log(aId,
+        "answer",
+        "The caller has gone.",
+        Subject(aId)
+          .Add("attempts", aRequest.attempts_made)
+          .Add("elapsed_ms", aNow - aRequest.exchange->Head().arrived));
     // The connection is woken, finds its caller gone and ends.
     Refuse(*aRequest.exchange,
            { 499, Outcome::Unknown, "caller-left", "the caller has gone" },
@@ -1095,10 +1150,17 @@
 
   void NoteRefusal(const PendingRequest& aRequest, const Refusal& aRefusal)
   {
-    Log(aRequest.exchange->Head().id,
-        "admit",
-        "is refused, " + std::string(OutcomeWord(aRefusal.outcome)) + ", " +
-          aRefusal.reason + ": " + aRefusal.detail);
+    LogFields fields = SubjectOf(aRequest);
+    fields.Add("status", aRefusal.status)
+      .Add("outcome", OutcomeWord(aRefusal.outcome))
+      .Add("reason", aRefusal.reason)
+      .Add("detail", aRefusal.detail)
+      .Add("attempts", aRequest.attempts_made);
+    if (aRefusal.retry_after) {
+      fields.Add("retry_after_ms", Duration(*aRefusal.retry_after));
+    }
+    Log(
+      aRequest.exchange->Head().id, "admit", "The request is refused.", fields);
     m_metrics.Count("refusals_total",
                     { { "account", aRequest.account },
                       { "reason", aRefusal.reason },
@@ -1134,21 +1196,49 @@
     m_requests.erase(held);
   }
 
-  void Log(std::uint64_t aId, const char* aPart, const std::string& aText)
+  /// The request that a log line is about.
+  static LogFields SubjectOf(const PendingRequest& aRequest)
   {
-    auto held = m_requests.find(aId);
-    std::string subject = "Request " + std::to_string(aId);
-    if (held != m_requests.end()) {
-      const PendingRequest& request = held->second;
-      subject = "Request " + request.name;
-      subject += " of " +
-                 (request.account.empty() ? std::string("anybody")
-                                          : Quoted(request.account)) +
-                 " on " + Quoted(request.route.id);
-    }
-    const std::string line = subject + " " + aText + ".";
-    LogLine(aPart, line);
-    m_history.Note(aId, std::string("[") + aPart + "] " + line);
+    LogFields fields;
+    fields.Add("request", aRequest.name);
+    if (!aRequest.account.empty()) {
+      fields.Add("account", aRequest.account);
+    }
+    if (!aRequest.route.id.empty()) {
+      fields.Add("route", aRequest.route.id);
+    }
+    if (!aRequest.service.empty()) {
+      fields.Add("service", aRequest.service);
+    }
+    return fields;
+  }
+
+  LogFields Subject(std::uint64_t aId) const
+  {
+    return SubjectOf(m_requests.at(aId));
+  }
+
+  /// Version and age of what a decision rests on.
+  LogFields Beliefs(TimePoint aNow) const
+  {
+    LogFields fields;
+    fields.Add("config", m_control.Config()->version);
+    const auto age = m_control.ViewAge(aNow);
+    if (age) {
+      fields.Add("view_age_ms", *age);
+    }
+    return fields;
+  }
+
+  /// Logs a decision and keeps the line for Explain.
+  void Log(std::uint64_t aId,
+           const char* aPart,
+           const std::string& aSentence,
+           const LogFields& aFields)
+  {
+    LogLine(aPart, aSentence, aFields);
+    m_history.Note(
+      aId, std::string("[") + aPart + "] " + aSentence + aFields.Text());
   }
 
   DispatcherOptions m_options;
--- a/src/sapphirelane/proxy/entry_app.cpp
+++ b/src/sapphirelane/proxy/entry_app.cpp
@@ -68,12 +68,24 @@
       MakeOperatorFront(operators, [this](const OperatorCall& aCall) {
         return m_api->Handle(aCall);
       });
-    LogLine("entry", "Host " + m_settings.host + " is serving.");
+    LogLine("entry",
+            "The daemon is serving.",
+            LogFields()
+              .Add("host", m_settings.host)
+              .Add("data_centre", m_settings.data_centre)
+              .Add("source",
+                   m_settings.platform.source.empty()
+                     ? "own"
+                     : m_settings.platform.source.c_str()));
   }
 
   bool StopPlanned() override
   {
-    LogLine("entry", "Host " + m_settings.host + " is being stopped.");
+    LogLine("entry",
+            "The daemon is being stopped.",
+            LogFields()
+              .Add("host", m_settings.host)
+              .Add("drain_ms", Duration(m_settings.drain)));
     const TimePoint last = Clock::now() + m_settings.drain;
     m_api->SetStopping();
     m_callers->CloseAfterAnswers();
@@ -88,7 +100,8 @@
     m_kernel.Stop();
     LogLine("entry",
             finished ? "Stopped with no request cut off."
-                     : "Stopped; requests were cut off at the drain limit.");
+                     : "Stopped; requests were cut off at the drain limit.",
+            LogFields().Add("host", m_settings.host));
     return finished;
   }
 
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -47,7 +47,8 @@
   }
   if (!m_loaded || config->version != m_version) {
     LogLine("config",
-            "Version " + std::to_string(config->version) + " is in force.");
+            "A version is in force.",
+            LogFields().Add("config", config->version));
   }
   m_version = config->version;
   m_endpointRevision = config->endpoint_revision;
@@ -91,9 +92,12 @@
   ServiceEntry& service = m_services.at(aName);
   for (const EjectionChange& change : service.state->Judge(aNow)) {
     LogLine("health",
-            "Endpoint " + change.endpoint + " of " + aName +
-              (change.ejected ? " is ejected: " : " is back: ") +
-              change.reason + ".");
+            "An endpoint's standing has changed.",
+            LogFields()
+              .Add("endpoint", change.endpoint)
+              .Add("service", aName)
+              .Add("standing", change.ejected ? "out" : "in")
+              .Add("reason", change.reason));
     m_metrics.Count("ejections_total",
                     { { "endpoint", change.endpoint },
                       { "change", change.ejected ? "out" : "back" } });
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -191,7 +191,9 @@
                        m_ejector->WantsTrial(id, aNow);
     if (tries) {
       state.trial_running = true;
-      return Placement{ id, state.endpoint.address, true, "trial" };
+      return Placement{
+        id, state.endpoint.address, true, LogFields().Add("choice", "trial")
+      };
     }
     if (!MayChoose(state)) {
       continue;
@@ -211,12 +213,16 @@
   if (!index) {
     return std::nullopt;
   }
-  const EndpointState& state = m_endpoints.at(choice[*index].id);
-  return Placement{ state.endpoint.id,
-                    state.endpoint.address,
-                    false,
-                    (special ? "without work, one of " : "least cost of ") +
-                      std::to_string(choice.size()) };
+  const Candidate& chosen = choice[*index];
+  LogFields inputs;
+  inputs.Add("choice", special ? "without-work" : "least-cost")
+    .Add("of", std::uint64_t{ choice.size() })
+    .Add("failure", chosen.failure)
+    .Add("in_flight", chosen.in_flight + chosen.others_in_flight)
+    .Add("latency_ms", chosen.latency);
+  return Placement{
+    chosen.id, m_endpoints.at(chosen.id).endpoint.address, false, inputs
+  };
 }
 
 /// An endpoint that has joined while this daemon runs and that nobody has given
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -140,6 +140,10 @@
   const FleetConfig* Config() const override { return m_view.Config(); }
   const KeyDirectory& Keys() const override { return m_keys; }
   bool IsFresh(TimePoint /*aNow*/) const override { return true; }
+  std::optional<Duration> ViewAge(TimePoint aNow) const override
+  {
+    return m_view.Age(aNow);
+  }
   std::pair<std::size_t, std::size_t> Rank() const override { return m_rank; }
   std::string DataCentre() const override { return m_options.self.data_centre; }
 
@@ -420,11 +424,15 @@
       return;
     }
     m_storeAnswers = aResult.answered;
-    LogLine("store",
-            aResult.answered ? std::string("The store answers.")
-                             : std::string("The store does not answer. call=") +
-                                 SourceCallName(aResult.kind) + " error=\"" +
-                                 aResult.error + "\"");
+    LogFields fields;
+    fields.Add("call", SourceCallName(aResult.kind));
+    if (aResult.answered) {
+      LogLine("store", "The store answers.", fields);
+    } else {
+      LogLine("store",
+              "The store does not answer.",
+              fields.Add("error", aResult.error));
+    }
   }
 
   void OnEndpointsRead(const SourceResult& aResult, TimePoint aNow)
@@ -634,8 +642,8 @@
         m_view.TakeConfig(DecodeAcceptedFleet(aReply.config));
       } catch (const ConfigError& error) {
         LogLine("view",
-                std::string("A peer's configuration is not usable. error=\"") +
-                  error.what() + "\"");
+                "A peer's configuration is not usable.",
+                LogFields().Add("error", error.what()));
       }
     }
     m_view.TakeEndpoints(0,
@@ -663,10 +671,13 @@
     m_loadedVersion = config->version;
     m_loadedRevision = config->endpoint_revision;
     LogLine("view",
-            "The view has changed. config=" + std::to_string(config->version) +
-              " endpoints=" + std::to_string(config->endpoints.size()) +
-              " store_version=" + std::to_string(m_view.Version()) +
-              " from=" + aFrom);
+            "The view has changed.",
+            LogFields()
+              .Add("config", config->version)
+              .Add("endpoints", std::uint64_t{ config->endpoints.size() })
+              .Add("store_version", m_view.Version())
+              .Add("age_ms", m_view.Age(aNow))
+              .Add("from", aFrom));
   }
 
   // Presence.
@@ -697,8 +708,11 @@
     const bool isNew = m_peers.OnPresence(aNews, aNow);
     if (isNew) {
       LogLine("peers",
-              "A daemon is heard. host=" + aNews.self.host +
-                " data_centre=" + aNews.self.data_centre);
+              "A daemon is heard.",
+              LogFields()
+                .Add("host", aNews.self.host)
+                .Add("data_centre", aNews.self.data_centre)
+                .Add("leaving", aNews.leaving ? "yes" : "no"));
       m_env.Send(aAddress, Presence(aNow));
     }
   }
@@ -711,8 +725,11 @@
     m_extras.SetShare(m_quota.Share());
     if (aLive != m_live) {
       LogLine("peers",
-              "Daemons that live have changed. live=" + std::to_string(aLive) +
-                " counted=" + std::to_string(aCounted));
+              "Daemons that live have changed.",
+              LogFields()
+                .Add("live", std::uint64_t{ aLive })
+                .Add("counted", std::uint64_t{ aCounted })
+                .Add("quota_share", m_quota.Share()));
     }
     m_live = aLive;
   }
