Hear a host again whose clock went back before it was started again

Cause: a daemon's word of its presence counts only if its run began no earlier than the run known before, by the time of day. Ruled out: a run number in the store (one more write for each start). Change: an earlier start is refused only while the run that is known is heard.

--- a/src/sapphirelane/relay/peer_book.cpp
+++ b/src/sapphirelane/relay/peer_book.cpp
@@ -52,8 +52,12 @@
     return false;
   }
   Peer& peer = m_peers[aNews.self.host];
-  if (aNews.started_ms < peer.started_ms) {
-    return false; // An earlier run of the host.
+  // A late word of an earlier run says nothing. A host whose clock went back
+  // before its daemon was started again looks the same until the run that is
+  // known has been silent.
+  const bool knownRuns = aNow - peer.heard <= m_options.live_for;
+  if (aNews.started_ms < peer.started_ms && knownRuns) {
+    return false;
   }
   const bool isNew = !IsLive(peer, aNow) || peer.info.id != aNews.self.id;
   peer.info = aNews.self;
--- a/src/sapphirelane/relay/peer_book_test.cpp
+++ b/src/sapphirelane/relay/peer_book_test.cpp
@@ -42,6 +42,20 @@
   CHECK_FALSE(m_book.IsLive(NodeId(2), m_now));
 }
 
+TEST_CASE_METHOD(PeerBookFixture,
+                 "PeerBook, host whose clock went back before it was started "
+                 "again, is taken once the earlier run is silent")
+{
+  m_book.OnPresence(News("near", "a", 2, 5000), m_now);
+  m_now += Milliseconds(1000);
+  m_book.OnPresence(News("near", "a", 3, 4000), m_now);
+  CHECK(m_book.IsLive(NodeId(2), m_now)); // It may be a late word of the past.
+  m_now += Milliseconds(1000);
+  CHECK(m_book.OnPresence(News("near", "a", 3, 4000), m_now));
+  CHECK(m_book.IsLive(NodeId(3), m_now));
+  CHECK_FALSE(m_book.IsLive(NodeId(2), m_now));
+}
+
 TEST_CASE_METHOD(PeerBookFixture,
                  "PeerBook, daemon named by a neighbour of its own, lives")
 {
