--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -83,6 +83,10 @@
   /// @brief Daemons that live or were heard not long ago, itself included.
   std::size_t Counted(TimePoint aNow) const;
 
+  /// @brief Share of the other daemons that fell silent or were started again
+  /// within a time, but for those that had said that they leave.
+  double Upset(Duration aWindow, TimePoint aNow) const;
+
   /// @brief Tells whether a run of a daemon lives.
   bool IsLive(NodeId aNode, TimePoint aNow) const;
 
@@ -96,6 +100,7 @@
     std::uint64_t started_ms = 0;
     TimePoint heard{};  ///< Itself, or a live neighbour of it.
     TimePoint listed{}; ///< By the store, while it was never heard.
+    TimePoint begun{};  ///< Start of its run, if that was not planned.
     bool leaving = false;
   };
 
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -394,14 +394,15 @@
 {
   MemberInfo self;
   std::uint64_t started_ms =
-    0; ///< Wall clock; the newest run of a host counts.
+    0;                         ///< Wall clock; the newest run of a host counts.
+  std::uint32_t uptime_ms = 0; ///< Since then, by the steady clock.
   bool leaving = false;
   std::vector<std::uint32_t> neighbours; ///< Hashes of hosts it hears.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(self, started_ms, leaving, neighbours);
+    aArchive(self, started_ms, uptime_ms, leaving, neighbours);
   }
 };
 
--- a/src/sapphirelane/programs/entry.cpp
+++ b/src/sapphirelane/programs/entry.cpp
@@ -1,5 +1,4 @@
 /// The daemon of one entry host.
-#include <csignal>
 #include <iostream>
 
 #include <boost/program_options.hpp>
@@ -8,6 +7,7 @@
 #include "sapphirelane/base/error.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/base/secret.h"
+#include "sapphirelane/base/signal_waiter.h"
 #include "sapphirelane/proxy/entry_app.h"
 
 namespace {
@@ -41,22 +41,14 @@
 }
 
 int
-Serve(const sapphirelane::EntrySettings& aSettings, const std::string& aFile)
+Serve(const sapphirelane::EntrySettings& aSettings,
+      const std::string& aFile,
+      sapphirelane::SignalWaiter& aSignals)
 {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
   auto app = sapphirelane::MakeEntryApp(aSettings);
   app->Start();
-  int signal = 0;
-  sigwait(&signals, &signal);
-  while (signal == SIGHUP) {
+  while (aSignals.Wait() == SIGHUP) {
     CheckAgain(aFile);
-    sigwait(&signals, &signal);
   }
   const bool finished = app->StopPlanned();
   app.reset();
@@ -67,6 +59,7 @@
 int
 Run(int aCount, char** aArguments)
 {
+  sapphirelane::SignalWaiter signals;
   po::options_description options(
     "sapphirelane-entry: serves callers on one entry host.\n"
     "Exit codes: 0 stopped as planned, 1 failed, 2 usage, 3 settings,\n"
@@ -104,7 +97,7 @@
   }
   sapphirelane::OpenLog(settings.log);
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  return Serve(settings, values["settings"].as<std::string>());
+  return Serve(settings, values["settings"].as<std::string>(), signals);
 }
 
 } // namespace
--- a/src/sapphirelane/relay/peer_book.cpp
+++ b/src/sapphirelane/relay/peer_book.cpp
@@ -60,6 +60,10 @@
     return false;
   }
   const bool isNew = !IsLive(peer, aNow) || peer.info.id != aNews.self.id;
+  if (peer.info.id != aNews.self.id) {
+    const bool planned = peer.leaving;
+    peer.begun = planned ? TimePoint{} : aNow - Milliseconds(aNews.uptime_ms);
+  }
   peer.info = aNews.self;
   peer.started_ms = aNews.started_ms;
   peer.leaving = aNews.leaving;
@@ -273,6 +277,25 @@
                }));
 }
 
+double
+PeerBook::Upset(Duration aWindow, TimePoint aNow) const
+{
+  double heard = 0;
+  double upset = 0;
+  for (const auto& entry : m_peers) {
+    const Peer& peer = entry.second;
+    if (peer.heard == TimePoint{} || !IsCounted(peer, aNow)) {
+      continue;
+    }
+    const bool young = peer.begun != TimePoint{} && aNow - peer.begun < aWindow;
+    const bool lost =
+      !IsLive(peer, aNow) && aNow - peer.heard < m_options.live_for + aWindow;
+    heard += 1;
+    upset += young || lost ? 1 : 0;
+  }
+  return heard == 0 ? 0 : upset / heard;
+}
+
 std::string
 PeerBook::DataCentreAt(const std::string& aAddress) const
 {
--- a/src/sapphirelane/relay/peer_book_test.cpp
+++ b/src/sapphirelane/relay/peer_book_test.cpp
@@ -80,6 +80,35 @@
   CHECK(m_book.Counted(m_now) == 1);
 }
 
+TEST_CASE_METHOD(PeerBookFixture,
+                 "PeerBook, daemons lost or started again, upset the fleet for "
+                 "a while, planned restarts do not")
+{
+  const Duration window = Milliseconds(4000);
+  for (int i = 0; i < 4; ++i) {
+    auto news = News("near-" + std::to_string(i), "a", 10 + i);
+    news.uptime_ms = 60000;
+    m_book.OnPresence(news, m_now);
+  }
+  CHECK(m_book.Upset(window, m_now) == 0);
+  auto leaves = News("near-0", "a", 10);
+  leaves.leaving = true;
+  m_book.OnPresence(leaves, m_now);
+  m_book.OnPresence(News("near-0", "a", 20, 2), m_now); // Planned.
+  m_book.OnPresence(News("near-1", "a", 21, 2), m_now); // Killed.
+  m_now += Milliseconds(1700);
+  m_book.OnPresence(News("near-0", "a", 20, 2), m_now);
+  m_book.OnPresence(News("near-1", "a", 21, 2), m_now);
+  m_book.OnPresence(News("near-2", "a", 12), m_now);
+  CHECK(m_book.Upset(window, m_now) == 0.5); // One young, one silent.
+  m_now += Milliseconds(5000);
+  for (int i = 0; i < 3; ++i) {
+    m_book.OnPresence(
+      News("near-" + std::to_string(i), "a", i < 2 ? 20 + i : 12, 2), m_now);
+  }
+  CHECK(m_book.Upset(window, m_now) == 0);
+}
+
 TEST_CASE_METHOD(PeerBookFixture,
                  "PeerBook, listed at a new address before it was heard, takes "
                  "the address over")
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -18,6 +18,14 @@
 /// times within PeerBookOptions::live_for.
 constexpr Milliseconds kPresencePeriod{ 500 };
 
+/// Time for which daemons that were lost or started again count as requests
+/// that were not served: the 2 s over which the floor of sound endpoints in use
+/// is judged, and as long again for the fleet to know its endpoints anew.
+constexpr Milliseconds kUpsetFor{ 4000 };
+
+/// Longest uptime that is told; far above kUpsetFor.
+constexpr std::int64_t kMostUptimeMs = 1'000'000'000;
+
 /// Daemons of each other data centre that are told of the presence at a time.
 constexpr std::size_t kRemotePresence = 2;
 
@@ -232,7 +240,8 @@
 
   double Shortfall(const std::string& aService, TimePoint aNow) override
   {
-    return m_shortfall[aService].Share(aNow);
+    // What callers lost at daemons that were killed is counted by nobody.
+    return std::max(m_upset, m_shortfall[aService].Share(aNow));
   }
 
   bool TakeExtra(const std::string& aService, TimePoint aNow) override
@@ -249,6 +258,7 @@
 
   void Tick(TimePoint aNow) override
   {
+    m_begun = m_begun == TimePoint{} ? aNow : m_begun;
     m_view.Tick(aNow);
     m_peers.Tick(aNow);
     Announce(aNow);
@@ -687,6 +697,8 @@
     PresenceNews news;
     news.self = m_options.self;
     news.started_ms = m_options.started_ms;
+    news.uptime_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(
+      ToMilliseconds(aNow - m_begun).count(), kMostUptimeMs));
     news.leaving = m_leaving;
     news.neighbours = m_peers.NeighbourHashes(aNow);
     return news;
@@ -720,6 +732,7 @@
   void NoteHeard(std::size_t aLive, std::size_t aCounted, TimePoint aNow)
   {
     m_quota.SetHeard(aLive, aCounted);
+    m_upset = m_peers.Upset(kUpsetFor, aNow);
     m_large = aCounted > kLargeFleet;
     m_rank = { m_peers.CountedOrder(aNow), aCounted };
     m_extras.SetShare(m_quota.Share());
@@ -939,6 +952,7 @@
   std::uint64_t m_lastCall = 0;
   std::uint64_t m_peerCall = 0; ///< Under way; 0 for none.
   TimePoint m_peerCallUntil{};
+  TimePoint m_begun{}; ///< First tick.
   TimePoint m_nextAnnounce{};
   TimePoint m_nextPresence{};
   TimePoint m_nextPeerAsk{};
@@ -961,6 +975,7 @@
   std::uint32_t m_centreSequence = 0;
   TimePoint m_lastCentre{};
   std::size_t m_live = 1;
+  double m_upset = 0;                                 ///< See PeerBook::Upset.
   std::pair<std::size_t, std::size_t> m_rank{ 0, 1 }; ///< For subsets.
   bool m_readsConfig = false;
   bool m_readsBoth = false; ///< Endpoints are read after the configuration.
--- /dev/null
+++ b/tests/soak/schedule.py
@@ -0,0 +1,173 @@
+"""Faults drawn from the seed; they come in series and overlap."""
+import asyncio
+import time
+
+from world import Route
+
+FAULTS_PER_S = 0.9    # faults begun a second, each lasting up to three
+
+
+class Schedule:
+    """Draws faults and brings them about, with a log of what was done."""
+
+    def __init__(self, world):
+        self.world = world
+        self.random = world.random
+        self.log = []
+        self.begin = 0.0
+
+    def note(self, text):
+        self.log.append(f"{time.monotonic() - self.begin:6.2f} s  {text}")
+
+    async def run(self, begin, seconds):
+        self.begin = begin
+        kinds = [self.daemon_signal, self.daemon_signal, self.store_link,
+                 self.store_fault, self.endpoint_fault, self.endpoint_fault,
+                 self.endpoint_link, self.endpoint_end, self.config,
+                 self.front_link]
+        times = sorted(self.random.uniform(0.5, seconds)
+                       for _ in range(int(seconds * FAULTS_PER_S)))
+        running = []
+        for at in times:
+            await asyncio.sleep(max(0, begin + at - time.monotonic()))
+            kind = self.random.choice(kinds)
+            running.append(asyncio.create_task(kind(
+                self.random.uniform(0.3, min(3.0, seconds - at + 0.4)))))
+        if running:
+            await asyncio.gather(*running)
+
+    def some_daemons(self):
+        most = max(1, len(self.world.daemons) // 2)
+        return self.random.sample(self.world.daemons,
+                                  self.random.randint(1, most))
+
+    async def daemon_signal(self, seconds):
+        how = self.random.choice(("kill", "stop", "pause", "hup", "herd"))
+        daemons = self.world.daemons if how == "herd" else self.some_daemons()
+        self.note(f"{how} {[one.name for one in daemons]} {seconds:.1f} s")
+        if how in ("kill", "herd"):
+            await asyncio.gather(*(one.kill() for one in daemons))
+        elif how == "stop":
+            for one in daemons:
+                await one.stop_planned()
+        elif how == "pause":
+            await asyncio.gather(*(one.pause(seconds) for one in daemons))
+        else:
+            for one in daemons:
+                one.hang_up()
+
+    async def store_link(self, seconds):
+        mode = self.random.choice(("refuse", "one_way", "delay", "silent"))
+        daemons = self.some_daemons()
+        self.note(f"store link {mode} {[one.name for one in daemons]} "
+                  f"{seconds:.1f} s")
+        for one in daemons:
+            one.harm(seconds + 3.0)
+            await self.harm_link(one.store, mode, seconds)
+
+    async def front_link(self, seconds):
+        daemon = self.random.choice(self.world.daemons)
+        self.note(f"callers of {daemon.name} are reset")
+        daemon.harm(0.5)
+        daemon.front.reset()
+
+    async def harm_link(self, link, mode, seconds):
+        if mode == "silent":
+            link.silence()
+            return
+        link.mode = mode
+        link.delay_s = 0.2
+        asyncio.get_running_loop().call_later(
+            seconds, lambda: setattr(link, "mode", "pass"))
+
+    async def store_fault(self, seconds):
+        store = self.world.store
+        how = self.random.choice(("down", "slow", "lost", "forget"))
+        self.note(f"store {how} {seconds:.1f} s")
+        if how == "forget":
+            store.forget_history()
+            return
+        self.world.harm_store(seconds)
+        if how == "down":
+            store.down = True
+        elif how == "slow":
+            store.slow_s = 0.3
+        else:
+            store.lose_answers = 0.5
+        await asyncio.sleep(seconds)
+        store.down, store.slow_s, store.lose_answers = False, 0.0, 0.0
+
+    def draw_endpoint(self):
+        service = self.random.choice(("scripts", "cues", "voice"))
+        there = self.world.alive(service)
+        return self.random.choice(there) if len(there) > 2 else None
+
+    async def endpoint_fault(self, seconds):
+        endpoint = self.draw_endpoint()
+        if endpoint is None:
+            return
+        endpoint.fault = self.random.choice(
+            ("errors", "hang", "reset", "slow", "lost", "extra"))
+        endpoint.share = self.random.choice((0.3, 0.9))
+        self.note(f"{endpoint.name} {endpoint.fault} {endpoint.share} "
+                  f"{seconds:.1f} s")
+        self.world.harm_endpoint(endpoint, seconds + 3.0)
+        await asyncio.sleep(seconds)
+        endpoint.fault = None
+
+    async def endpoint_link(self, seconds):
+        endpoint = self.draw_endpoint()
+        if endpoint is None:
+            return
+        mode = self.random.choice(("refuse", "one_way", "delay", "silent"))
+        self.note(f"link of {endpoint.name} {mode} {seconds:.1f} s")
+        # A connection that has gone silent stays so.
+        lasts = 1e6 if mode == "silent" else seconds + 3.0
+        self.world.harm_endpoint(endpoint, lasts)
+        await self.harm_link(endpoint.link, mode, seconds)
+
+    async def endpoint_end(self, seconds):
+        endpoint = self.draw_endpoint()
+        if endpoint is None:
+            return
+        how = self.random.choice(("drain", "crash", "reuse", "join"))
+        self.note(f"{endpoint.name} {how}")
+        if how == "join":
+            await self.world.add_endpoint(endpoint.service)
+            return
+        if how == "drain":
+            endpoint.drain()
+            await asyncio.sleep(3.5)
+            self.world.harm_endpoint(endpoint, 1e6)
+            await endpoint.leave()
+        else:
+            self.world.harm_endpoint(endpoint, 1e6)
+            await endpoint.crash()
+        if how == "reuse":
+            other = "cues" if endpoint.service == "scripts" else "scripts"
+            await asyncio.sleep(0.5)
+            await self.world.add_endpoint(other, endpoint.port)
+        else:
+            await self.world.add_endpoint(endpoint.service)
+
+    async def config(self, seconds):
+        how = self.random.choice(("withdraw", "move", "storm", "many"))
+        self.note(f"configuration {how}")
+        world = self.world
+        if how == "withdraw":
+            world.withdraw_key()
+        elif how == "move":
+            route = world.routes["list"]
+            world.set_route(Route(
+                "list", route.prefix, route.kind,
+                "scripts" if route.service == "voice" else "voice"))
+            world.write_config()
+        elif how == "storm":
+            for _ in range(5):
+                world.write_config()
+                await asyncio.sleep(0.2)
+        else:
+            for number in range(200):
+                name = f"more-{number}"
+                world.allowed.setdefault(name, {"scripts"})
+            world.write_config()
--- /dev/null
+++ b/tests/soak/wire.py
@@ -0,0 +1,141 @@
+"""HTTP/1.1 over asyncio streams, by h11: one server loop and one client call."""
+import asyncio
+import dataclasses
+
+import h11
+
+BLOCK = 65536  # bytes read at once
+
+
+@dataclasses.dataclass
+class Request:
+    """A whole request; header names are in lower case."""
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+
+@dataclasses.dataclass
+class Answer:
+    """A whole answer; header names are in lower case."""
+    status: int
+    headers: dict
+    body: bytes
+    closes: bool = False
+
+
+class Broken(Exception):
+    """The other side ended the connection or sent what cannot be read."""
+
+
+def headers_of(event):
+    return {name.decode(): value.decode("latin-1")
+            for name, value in event.headers}
+
+
+async def next_event(state, reader):
+    """The next event of a connection; reads as long as none is whole."""
+    while True:
+        try:
+            event = state.next_event()
+        except h11.RemoteProtocolError as error:
+            raise Broken(str(error)) from error
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            state.receive_data(await reader.read(BLOCK))
+        except OSError as error:
+            raise Broken(str(error)) from error
+
+
+async def read_body(state, reader):
+    body = b""
+    while True:
+        event = await next_event(state, reader)
+        if isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return body
+        else:
+            raise Broken("the message ended early")
+
+
+async def serve(reader, writer, handle):
+    """Answers requests of one connection until it ends.
+
+    handle(request, writer) gives an Answer, or None to end the connection.
+    """
+    state = h11.Connection(h11.SERVER)
+    try:
+        while True:
+            event = await next_event(state, reader)
+            if not isinstance(event, h11.Request):
+                return
+            headers = headers_of(event)
+            body = await read_body(state, reader)
+            request = Request(event.method.decode(), event.target.decode(),
+                              headers, body)
+            answer = await handle(request, writer)
+            if answer is None:
+                return
+            fields = dict(answer.headers)
+            fields["Content-Length"] = str(len(answer.body))
+            if answer.closes:
+                fields["Connection"] = "close"
+            writer.write(state.send(h11.Response(
+                status_code=answer.status, headers=list(fields.items()))))
+            writer.write(state.send(h11.Data(data=answer.body)))
+            writer.write(state.send(h11.EndOfMessage()) or b"")
+            await writer.drain()
+            if state.our_state is h11.MUST_CLOSE or \
+                    state.their_state is h11.MUST_CLOSE:
+                return
+            state.start_next_cycle()
+    except (Broken, OSError, h11.LocalProtocolError):
+        return
+    finally:
+        writer.close()
+
+
+class Client:
+    """One connection of a caller, which may carry several requests in turn."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.state = h11.Connection(h11.CLIENT)
+        self.used = False
+
+    @classmethod
+    async def connect(cls, address, port):
+        try:
+            return cls(*await asyncio.open_connection(address, port))
+        except OSError as error:
+            raise Broken(str(error)) from error
+
+    async def call(self, method, target, headers, body=b""):
+        fields = dict(headers)
+        if body or method == "POST":
+            fields["Content-Length"] = str(len(body))
+        self.used = True
+        try:
+            self.writer.write(self.state.send(h11.Request(
+                method=method, target=target, headers=list(fields.items()))))
+            self.writer.write(self.state.send(h11.Data(data=body)))
+            self.writer.write(self.state.send(h11.EndOfMessage()) or b"")
+            await self.writer.drain()
+        except (OSError, h11.LocalProtocolError) as error:
+            raise Broken(str(error)) from error
+        event = await next_event(self.state, self.reader)
+        if not isinstance(event, h11.Response):
+            raise Broken("no answer")
+        answer = Answer(event.status_code, headers_of(event),
+                        await read_body(self.state, self.reader))
+        answer.closes = self.state.their_state is h11.MUST_CLOSE
+        if not answer.closes:
+            self.state.start_next_cycle()
+        return answer
+
+    def close(self):
+        self.writer.close()
