--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -158,6 +158,10 @@
   /// @brief The daemon's data centre; empty if that does not matter.
   virtual std::string DataCentre() const { return {}; }
 
+  /// @brief Tells whether this daemon hears of all work at endpoints of other
+  /// data centres.
+  virtual bool HearsAllWork() const { return true; }
+
   /// @brief Takes the events that have come in.
   virtual std::vector<ControlEvent> TakeEvents() = 0;
 };
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -61,6 +61,9 @@
             std::size_t aHosts,
             TimePoint aNow);
 
+  /// @brief Says whether all work at endpoints elsewhere is known here.
+  void SetHearsAllWork(bool aHears) { m_hearsAll = aHears; }
+
   /// @brief Chooses an endpoint that has room.
   std::optional<Placement> Place(const PlaceRequest& aRequest,
                                  TimePoint aNow,
@@ -162,7 +165,7 @@
   ServiceStateOptions m_options;
   std::string m_service;
   std::uint32_t m_floor = 0;
-  bool m_large = false; ///< The fleet is large.
+  bool m_hearsAll = true;
   std::map<std::string, EndpointState> m_endpoints;
   bool m_badEvidence = false;
 };
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -59,6 +59,7 @@
     if (!service.state) {
       Make(service);
     }
+    service.state->SetHearsAllWork(m_control.HearsAllWork());
     service.state->Load(*config, entry.first, rank.first, rank.second, aNow);
     service.has_safe_route = HasSafeRoute(*config, entry.first);
   }
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -38,12 +38,7 @@
 /// floor allows 0.3 of the sound ones, which may be few.
 constexpr double kMostIdleShare = 0.1;
 
-/// Hosts from which on daemons know little of endpoints elsewhere, as news of
-/// work stays in its data centre.
-constexpr std::size_t kLargeFleet = 48;
-
-/// Cost of an endpoint elsewhere in a large fleet, in requests: others may have
-/// work there that is not known here.
+/// Cost of an endpoint elsewhere whose work is not all known here, in requests.
 constexpr double kElsewhereCost = 0.1;
 
 /// Connections that one host may need while a pool is being renewed.
@@ -68,7 +63,6 @@
                    TimePoint aNow)
 {
   m_service = aService;
-  m_large = aHosts > kLargeFleet;
   m_floor = aConfig.services.at(aService).floor;
   const bool first = m_endpoints.empty();
   std::vector<std::string> ids;
@@ -156,7 +150,7 @@
   if (IsElsewhere(aState)) {
     candidate.transfer_cost =
       static_cast<double>(aRequest.body_bytes) / kMegabyte * kTransferCost +
-      (m_large ? kElsewhereCost : 0);
+      (m_hearsAll ? 0 : kElsewhereCost);
   }
   candidate.reported_load = aState.load;
   candidate.report_age = aNow - aState.load_time;
@@ -234,7 +228,7 @@
     const EndpointState& state = m_endpoints.at(aCandidates[i].id);
     const bool unused = state.used == TimePoint{} && state.in_flight == 0;
     if (unused && aCandidates[i].in_service_for < kWarm &&
-        !(m_large && IsElsewhere(state))) {
+        (m_hearsAll || !IsElsewhere(state))) {
       return i;
     }
   }
@@ -251,7 +245,7 @@
   const auto counts = [this, aNow](const EndpointState& aState) {
     return aState.endpoint.state == LifeState::InService && !aState.moved &&
            aNow - aState.bad_at > kFailedFor &&
-           !(m_large && IsElsewhere(aState));
+           (m_hearsAll || !IsElsewhere(aState));
   };
   const auto isIdle = [aNow](const EndpointState& aState) {
     return aNow - aState.used > kNeglectedAfter;
--- /dev/null
+++ b/src/sapphirelane/relay/work_relay.cpp
@@ -0,0 +1,230 @@
+#include "sapphirelane/relay/work_relay.h"
+
+#include <utility>
+
+namespace sapphirelane {
+
+namespace {
+
+/// Daemons of each other data centre that spread a message there.
+constexpr std::size_t kRelays = 1;
+constexpr std::size_t kUrgentRelays = 2;
+
+/// Between two sums that a data centre tells the others.
+constexpr Milliseconds kCentrePeriod{ 100 };
+
+/// Tells the sender of a data centre's sums from the daemon that sends them.
+constexpr NodeId kCentreMark = 0x8000000000000000ULL;
+
+/// Longest time for which news of good work is held back to be summed up.
+constexpr Milliseconds kNewsPeriod{ 20 };
+
+/// Sequence up to which a daemon's counters are taken whole when it is first
+/// heard; beyond it, it counted before this daemon listened.
+constexpr std::uint32_t kYoungSequence = 3;
+
+} // namespace
+
+WorkRelay::WorkRelay(MemberInfo aSelf,
+                     const PeerBook& aPeers,
+                     const Spreader& aSpreader,
+                     QuotaLedger& aQuota,
+                     ExtraBudget& aExtras)
+  : m_self(std::move(aSelf))
+  , m_peers(aPeers)
+  , m_spreader(aSpreader)
+  , m_quota(aQuota)
+  , m_extras(aExtras)
+{
+}
+
+void
+WorkRelay::NoteOwn(const WorkReport& aReport, TimePoint aNow)
+{
+  m_board.NoteOwn(aReport);
+  if (aReport.begins) {
+    m_extras.NoteRequests(aReport.service, 1, aNow);
+  }
+  const bool bad = aReport.bad > 0 || aReport.shed > 0;
+  if (bad || aReport.begins || aReport.extra) {
+    SendNews(bad ? kUrgentRelays : kRelays, aNow);
+  }
+}
+
+void
+WorkRelay::NoteOutcome(const std::string& aService,
+                       bool aServed,
+                       TimePoint aNow)
+{
+  m_board.NoteOutcome(aService, aServed);
+  m_shortfall[aService].Note(1, aServed ? 0 : 1, aNow);
+}
+
+void
+WorkRelay::NoteSpent(const std::string& aAccount, std::int32_t aCount)
+{
+  m_board.NoteSpent(aAccount, aCount);
+}
+
+double
+WorkRelay::Shortfall(const std::string& aService, TimePoint aNow)
+{
+  return m_shortfall[aService].Share(aNow);
+}
+
+void
+WorkRelay::Tick(TimePoint aNow)
+{
+  TellCentre(aNow);
+  if (m_board.HasNews() && aNow - m_lastNews >= kNewsPeriod) {
+    SendNews(kRelays, aNow);
+  }
+}
+
+std::vector<FleetEvidence>
+WorkRelay::DropDead(TimePoint aNow)
+{
+  std::vector<FleetEvidence> all;
+  for (NodeId node : m_board.Nodes()) {
+    if (!m_peers.IsLive(node, aNow)) {
+      for (FleetEvidence& one : m_board.Drop(node)) {
+        all.push_back(std::move(one));
+      }
+    }
+  }
+  return all;
+}
+
+void
+WorkRelay::SendNews(std::size_t aRelays, TimePoint aNow)
+{
+  WorkNews news = m_board.TakeNews();
+  news.origin = m_self.id;
+  news.sequence = ++m_sequence;
+  m_lastNews = aNow;
+  if (!m_large) {
+    m_spreader.Spread(std::move(news), m_spreader.Relays(aRelays, aNow), aNow);
+    return;
+  }
+  NoteForCentre(news);
+  m_spreader.SpreadOn(news, aNow);
+  SendToOwners(news, aRelays, aNow);
+}
+
+/// Tells the daemons of another data centre about work on its endpoints.
+void
+WorkRelay::SendToOwners(const WorkNews& aNews,
+                        std::size_t aRelays,
+                        TimePoint aNow)
+{
+  std::map<std::string, WorkNews> byCentre;
+  for (const EndpointWork& work : aNews.endpoints) {
+    const std::string centre = m_board.CentreOf(work.endpoint);
+    if (!centre.empty() && centre != m_self.data_centre) {
+      byCentre[centre].endpoints.push_back(work);
+    }
+  }
+  for (auto& [centre, news] : byCentre) {
+    news.origin = aNews.origin;
+    news.sequence = aNews.sequence;
+    m_spreader.SendOn(news, m_spreader.RelaysOf(centre, aRelays, aNow));
+  }
+}
+
+/// Adds a daemon's counters to those of its data centre.
+void
+WorkRelay::NoteForCentre(const WorkNews& aNews)
+{
+  Heard& heard = m_centreHeard[aNews.origin];
+  const bool counts = heard.sequence > 0 || aNews.sequence <= kYoungSequence;
+  heard.sequence = aNews.sequence;
+  for (const AccountWork& work : aNews.accounts) {
+    m_centreSpent[work.account] +=
+      heard.Advance(heard.spent, work.account, work.spent, counts);
+    m_centreAccounts.insert(work.account);
+  }
+  for (const ServiceWork& work : aNews.services) {
+    ServiceWork& sum = m_centreServices[work.service];
+    sum.service = work.service;
+    sum.requests +=
+      heard.Advance(heard.requests, work.service, work.requests, counts);
+    sum.extras +=
+      heard.Advance(heard.extras, work.service, work.extras, counts);
+    sum.ended += heard.Advance(heard.ended, work.service, work.ended, counts);
+    sum.unserved +=
+      heard.Advance(heard.unserved, work.service, work.unserved, counts);
+    m_centreServiceNews.insert(work.service);
+  }
+}
+
+/// In a large fleet the first daemon of a data centre tells the others what
+/// all daemons of its own have let through.
+void
+WorkRelay::TellCentre(TimePoint aNow)
+{
+  const bool due = m_large && aNow - m_lastCentre >= kCentrePeriod &&
+                   m_peers.NeighbourOrder(aNow) == 0;
+  if (!due || (m_centreAccounts.empty() && m_centreServiceNews.empty())) {
+    return;
+  }
+  m_lastCentre = aNow;
+  WorkNews news;
+  news.origin = m_self.id ^ kCentreMark;
+  news.sequence = ++m_centreSequence;
+  for (std::uint32_t account : m_centreAccounts) {
+    news.accounts.push_back({ account, m_centreSpent[account] });
+  }
+  for (std::uint32_t service : m_centreServiceNews) {
+    news.services.push_back(m_centreServices[service]);
+  }
+  m_centreAccounts.clear();
+  m_centreServiceNews.clear();
+  m_spreader.SendOn(std::move(news), m_spreader.Relays(kUrgentRelays, aNow));
+}
+
+std::vector<FleetEvidence>
+WorkRelay::OnNews(const WorkNews& aNews, TimePoint aNow)
+{
+  if (aNews.origin == m_self.id) {
+    return {};
+  }
+  Heard& heard = m_heard[aNews.origin];
+  if (aNews.sequence <= heard.sequence) {
+    return {}; // It came by another way before.
+  }
+  const bool young = aNews.sequence <= kYoungSequence;
+  const bool first = heard.sequence == 0;
+  heard.sequence = aNews.sequence;
+  if (aNews.spread) {
+    m_spreader.SpreadOn(aNews, aNow);
+  }
+  if (m_large && m_peers.IsNeighbour(aNews.origin)) {
+    NoteForCentre(aNews);
+  }
+  for (const AccountWork& work : aNews.accounts) {
+    const std::uint32_t more =
+      heard.Advance(heard.spent, work.account, work.spent, !first || young);
+    // What was given back makes the number smaller.
+    const auto change = static_cast<std::int32_t>(more);
+    if (change > 0) {
+      m_quota.NoteOthers(m_board.AccountOf(work.account), more, aNow);
+    }
+  }
+  for (const ServiceWork& work : aNews.services) {
+    const std::string service = m_board.ServiceOf(work.service);
+    const std::uint32_t requests = heard.Advance(
+      heard.requests, work.service, work.requests, !first || young);
+    const std::uint32_t extras =
+      heard.Advance(heard.extras, work.service, work.extras, !first || young);
+    m_extras.NoteRequests(service, requests, aNow);
+    m_extras.NoteExtras(service, extras, aNow);
+    const std::uint32_t ended =
+      heard.Advance(heard.ended, work.service, work.ended, !first || young);
+    const std::uint32_t unserved = heard.Advance(
+      heard.unserved, work.service, work.unserved, !first || young);
+    m_shortfall[service].Note(ended, unserved, aNow);
+  }
+  return m_board.Take(aNews);
+}
+
+} // namespace sapphirelane
--- /dev/null
+++ b/src/sapphirelane/relay/work_relay.h
@@ -0,0 +1,109 @@
+#ifndef SAPPHIRELANE_RELAY_WORK_RELAY_H
+#define SAPPHIRELANE_RELAY_WORK_RELAY_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sapphirelane/relay/extra_budget.h"
+#include "sapphirelane/relay/quota_ledger.h"
+#include "sapphirelane/relay/spreader.h"
+#include "sapphirelane/relay/work_board.h"
+#include "sapphirelane/routing/shortfall.h"
+
+namespace sapphirelane {
+
+/// @brief Tells the fleet of this daemon's work and counts that of the others.
+///
+/// In a large fleet news of work stay in the data centre of the daemon and in
+/// that of the endpoint; the others hear the sums of each data centre.
+class WorkRelay
+{
+public:
+  /// @param aSpreader Outlives the relay, as do the others.
+  WorkRelay(MemberInfo aSelf,
+            const PeerBook& aPeers,
+            const Spreader& aSpreader,
+            QuotaLedger& aQuota,
+            ExtraBudget& aExtras);
+
+  /// @brief Takes over which endpoints and accounts there are.
+  void Load(const FleetConfig& aConfig) { m_board.Load(aConfig); }
+
+  /// @brief Says whether the fleet is large.
+  void SetLarge(bool aLarge) { m_large = aLarge; }
+
+  // This daemon's own work.
+  void NoteOwn(const WorkReport& aReport, TimePoint aNow);
+  void NoteOutcome(const std::string& aService, bool aServed, TimePoint aNow);
+  void NoteSpent(const std::string& aAccount, std::int32_t aCount);
+
+  /// @brief Sends what is due.
+  void Tick(TimePoint aNow);
+
+  /// @brief Takes in another daemon's word.
+  /// @return What it tells of endpoints.
+  std::vector<FleetEvidence> OnNews(const WorkNews& aNews, TimePoint aNow);
+
+  /// @brief Forgets what daemons have in hand that no longer live.
+  std::vector<FleetEvidence> DropDead(TimePoint aNow);
+
+  /// @brief Share of a service's requests that the fleet did not serve, lately.
+  double Shortfall(const std::string& aService, TimePoint aNow);
+
+private:
+  /// What one run of a daemon has told of its counters.
+  struct Heard
+  {
+    using Counters = std::map<std::uint32_t, std::uint32_t>;
+
+    std::uint32_t sequence = 0;
+    Counters spent;
+    Counters requests;
+    Counters extras;
+    Counters ended;
+    Counters unserved;
+
+    /// @return How far a counter has advanced; 0 for a first value that was
+    /// reached before this daemon listened.
+    static std::uint32_t Advance(Counters& aCounters,
+                                 std::uint32_t aKey,
+                                 std::uint32_t aValue,
+                                 bool aCounts)
+    {
+      auto [found, isNew] = aCounters.try_emplace(aKey, aCounts ? 0 : aValue);
+      return aValue - std::exchange(found->second, aValue);
+    }
+  };
+
+  void SendNews(std::size_t aRelays, TimePoint aNow);
+  void SendToOwners(const WorkNews& aNews, std::size_t aRelays, TimePoint aNow);
+  void NoteForCentre(const WorkNews& aNews);
+  void TellCentre(TimePoint aNow);
+
+  MemberInfo m_self;
+  const PeerBook& m_peers;
+  const Spreader& m_spreader;
+  QuotaLedger& m_quota;
+  ExtraBudget& m_extras;
+  WorkBoard m_board;
+  std::map<std::string, ShortfallMeter> m_shortfall; ///< By service.
+  std::map<NodeId, Heard> m_heard;
+  std::uint32_t m_sequence = 0;
+  TimePoint m_lastNews{};
+  bool m_large = false; ///< The fleet is large.
+  // What all daemons of this data centre have counted since this one listens.
+  std::map<NodeId, Heard> m_centreHeard;
+  std::map<std::uint32_t, std::uint32_t> m_centreSpent;
+  std::map<std::uint32_t, ServiceWork> m_centreServices;
+  std::set<std::uint32_t> m_centreAccounts;    ///< Not told yet.
+  std::set<std::uint32_t> m_centreServiceNews; ///< Not told yet.
+  std::uint32_t m_centreSequence = 0;
+  TimePoint m_lastCentre{};
+};
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_RELAY_WORK_RELAY_H
