Tell the story of a request, an endpoint or an account from logs

Cause: an on-call engineer has a request's id and the logs of all hosts, and had to search them by hand. Change: module logs (LogEntry, LogStory), command 'sapphirelanectl logs'. The story of a request holds its own lines and, before each, what its host believed then: endpoint, view, store, other daemons.

--- a/scripts/check_includes.py
+++ b/scripts/check_includes.py
@@ -4,7 +4,7 @@
 import re
 import sys
 
-ORDER = ["base", "config", "wire", "store", "routing", "admission",
+ORDER = ["base", "logs", "config", "wire", "store", "routing", "admission",
          "claims", "membership", "relay", "kernel", "proxy", "programs"]
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 INCLUDE = re.compile(r'#include "sapphirelane/([a-z_]+)/')
--- a/src/sapphirelane/programs/ctl.cpp
+++ b/src/sapphirelane/programs/ctl.cpp
@@ -17,6 +17,7 @@
 #include "sapphirelane/base/secret.h"
 #include "sapphirelane/config/change_set.h"
 #include "sapphirelane/config/sheet.h"
+#include "sapphirelane/logs/log_story.h"
 #include "sapphirelane/store/http_client.h"
 
 namespace {
@@ -42,6 +43,9 @@
   config                                show every row in force
   history                               show the latest changes
   explain REQUEST                       why a request went where it went
+  logs request ID FILE...               what became of a request, from logs
+  logs endpoint ID FILE...              how an endpoint stood over time
+  logs account ID FILE...               what an account was refused
   sheet check FILE                      check the planners' sheet
   sheet diff FILE                       show what it would change
   sheet apply FILE                      make it one new version
@@ -374,6 +378,61 @@
   return kExitOk;
 }
 
+/// Reads the lines of a daemon's log; "-" is standard input. A file's name
+/// without its ending is the host, unless its lines name one.
+void
+ReadLog(const std::string& aFile, std::vector<LogEntry>& aEntries)
+{
+  const std::size_t begin = aFile.rfind('/') + 1;
+  const std::string host = aFile.substr(begin, aFile.rfind('.') - begin);
+  std::ifstream file;
+  if (aFile != "-") {
+    file.open(aFile);
+    if (!file) {
+      throw Error(aFile + ": cannot be read");
+    }
+  }
+  std::istream& lines = aFile == "-" ? std::cin : file;
+  std::string line;
+  while (std::getline(lines, line)) {
+    auto entry = ParseLogLine(line, host);
+    if (entry) {
+      aEntries.push_back(std::move(*entry));
+    }
+  }
+}
+
+int
+TellFromLogs(const Words& aWords)
+{
+  const std::string& subject = Word(aWords, 1, "request, endpoint or account");
+  const std::string& id = Word(aWords, 2, "ID");
+  Word(aWords, 3, "FILE");
+  std::vector<LogEntry> entries;
+  for (std::size_t i = 3; i < aWords.size(); ++i) {
+    ReadLog(aWords[i], entries);
+  }
+  std::vector<LogEntry> story;
+  if (subject == "request") {
+    story = StoryOfRequest(std::move(entries), id);
+  } else if (subject == "endpoint") {
+    story = StoryOfEndpoint(std::move(entries), id);
+  } else if (subject == "account") {
+    story = StoryOfAccount(std::move(entries), id);
+  } else {
+    throw UsageError("logs " + subject +
+                     ": expected request, endpoint or account");
+  }
+  for (const LogEntry& entry : story) {
+    std::cout << entry.Text() << "\n";
+  }
+  if (story.empty()) {
+    std::cerr << "sapphirelanectl: no line names " << subject << " " << id
+              << "\n";
+  }
+  return story.empty() ? kExitFailed : kExitOk;
+}
+
 std::string
 Credential(const po::variables_map& aValues)
 {
@@ -436,6 +495,9 @@
               << " rows are sound\n";
     return kExitOk;
   }
+  if (words[0] == "logs") {
+    return TellFromLogs(words);
+  }
   curl_global_init(CURL_GLOBAL_DEFAULT);
   DaemonClient daemon(values["to"].as<std::string>(), Credential(values));
   return Commands(daemon, values["author"].as<std::string>()).Run(words);
