Count of a daemon that ran before it was heard only what is new

Cause: a daemon that starts hears others that have run for long. The first value of a counter is taken for what was spent before; but only the counters of the first message were. Ruled out: the share of daemons heard (quota_share 1.000 throughout); lost messages (counters are sums). Change: whether a run was heard from its start is kept with the run.

--- a/src/sapphirelane/relay/work_relay.cpp
+++ b/src/sapphirelane/relay/work_relay.cpp
@@ -81,6 +81,22 @@
   }
 }
 
+void
+WorkRelay::Heard::Note(std::uint32_t aSequence)
+{
+  whole = sequence == 0 ? aSequence <= kYoungSequence : whole;
+  sequence = aSequence;
+}
+
+std::uint32_t
+WorkRelay::Heard::Advance(Counters& aCounters,
+                          std::uint32_t aKey,
+                          std::uint32_t aValue) const
+{
+  auto found = aCounters.try_emplace(aKey, whole ? 0 : aValue).first;
+  return aValue - std::exchange(found->second, aValue);
+}
+
 std::vector<FleetEvidence>
 WorkRelay::DropDead(TimePoint aNow)
 {
@@ -136,23 +152,19 @@
 WorkRelay::NoteForCentre(const WorkNews& aNews)
 {
   Heard& heard = m_centreHeard[aNews.origin];
-  const bool counts = heard.sequence > 0 || aNews.sequence <= kYoungSequence;
-  heard.sequence = aNews.sequence;
+  heard.Note(aNews.sequence);
   for (const AccountWork& work : aNews.accounts) {
     m_centreSpent[work.account] +=
-      heard.Advance(heard.spent, work.account, work.spent, counts);
+      heard.Advance(heard.spent, work.account, work.spent);
     m_centreAccounts.insert(work.account);
   }
   for (const ServiceWork& work : aNews.services) {
     ServiceWork& sum = m_centreServices[work.service];
     sum.service = work.service;
-    sum.requests +=
-      heard.Advance(heard.requests, work.service, work.requests, counts);
-    sum.extras +=
-      heard.Advance(heard.extras, work.service, work.extras, counts);
-    sum.ended += heard.Advance(heard.ended, work.service, work.ended, counts);
-    sum.unserved +=
-      heard.Advance(heard.unserved, work.service, work.unserved, counts);
+    sum.requests += heard.Advance(heard.requests, work.service, work.requests);
+    sum.extras += heard.Advance(heard.extras, work.service, work.extras);
+    sum.ended += heard.Advance(heard.ended, work.service, work.ended);
+    sum.unserved += heard.Advance(heard.unserved, work.service, work.unserved);
     m_centreServiceNews.insert(work.service);
   }
 }
@@ -192,9 +204,7 @@
   if (aNews.sequence <= heard.sequence) {
     return {}; // It came by another way before.
   }
-  const bool young = aNews.sequence <= kYoungSequence;
-  const bool first = heard.sequence == 0;
-  heard.sequence = aNews.sequence;
+  heard.Note(aNews.sequence);
   if (aNews.spread) {
     m_spreader.SpreadOn(aNews, aNow);
   }
@@ -203,7 +213,7 @@
   }
   for (const AccountWork& work : aNews.accounts) {
     const std::uint32_t more =
-      heard.Advance(heard.spent, work.account, work.spent, !first || young);
+      heard.Advance(heard.spent, work.account, work.spent);
     // What was given back makes the number smaller.
     const auto change = static_cast<std::int32_t>(more);
     if (change > 0) {
@@ -212,16 +222,16 @@
   }
   for (const ServiceWork& work : aNews.services) {
     const std::string service = m_board.ServiceOf(work.service);
-    const std::uint32_t requests = heard.Advance(
-      heard.requests, work.service, work.requests, !first || young);
+    const std::uint32_t requests =
+      heard.Advance(heard.requests, work.service, work.requests);
     const std::uint32_t extras =
-      heard.Advance(heard.extras, work.service, work.extras, !first || young);
+      heard.Advance(heard.extras, work.service, work.extras);
     m_extras.NoteRequests(service, requests, aNow);
     m_extras.NoteExtras(service, extras, aNow);
     const std::uint32_t ended =
-      heard.Advance(heard.ended, work.service, work.ended, !first || young);
-    const std::uint32_t unserved = heard.Advance(
-      heard.unserved, work.service, work.unserved, !first || young);
+      heard.Advance(heard.ended, work.service, work.ended);
+    const std::uint32_t unserved =
+      heard.Advance(heard.unserved, work.service, work.unserved);
     m_shortfall[service].Note(ended, unserved, aNow);
   }
   return m_board.Take(aNews);
--- a/src/sapphirelane/relay/work_relay.h
+++ b/src/sapphirelane/relay/work_relay.h
@@ -59,23 +59,23 @@
   {
     using Counters = std::map<std::uint32_t, std::uint32_t>;
 
-    std::uint32_t sequence = 0;
+    std::uint32_t sequence = 0; ///< Newest message; 0 before the first.
+    /// Heard since its start, so that all it has counted is new.
+    bool whole = false;
     Counters spent;
     Counters requests;
     Counters extras;
     Counters ended;
     Counters unserved;
 
-    /// @return How far a counter has advanced; 0 for a first value that was
-    /// reached before this daemon listened.
-    static std::uint32_t Advance(Counters& aCounters,
-                                 std::uint32_t aKey,
-                                 std::uint32_t aValue,
-                                 bool aCounts)
-    {
-      auto [found, isNew] = aCounters.try_emplace(aKey, aCounts ? 0 : aValue);
-      return aValue - std::exchange(found->second, aValue);
-    }
+    /// @brief Notes that a message has come.
+    void Note(std::uint32_t aSequence);
+
+    /// @return How far a counter has advanced; 0 for the first value of a
+    /// daemon that had counted before it was heard.
+    std::uint32_t Advance(Counters& aCounters,
+                          std::uint32_t aKey,
+                          std::uint32_t aValue) const;
   };
 
   void SendNews(std::size_t aRelays, TimePoint aNow);
