Begin a data centre's sums anew when another daemon tells of them

Cause: in a fleet of 49 daemons or more the first of a data centre tells the others what its data centre let through. Every daemon kept these sums since its start, so the next one, after a stop or a crash of the first, told all of it once more, as a run heard from its start: remote daemons counted up to minutes of requests of every account at once. A daemon that led twice told numbers that overlap with those of the one between. Ruled out: lost messages (sums are states). Change: sums begin at zero, with an origin of their own, when a daemon begins to tell. What its data centre lets through between the death of the first and that moment, 1.6 s at most, is not told. Test: WorkRelay, daemon that begins to tell: told 200 before (and 203 the second time), 3 and 2 after.

--- a/src/sapphirelane/relay/work_relay.cpp
+++ b/src/sapphirelane/relay/work_relay.cpp
@@ -154,18 +154,18 @@
   Heard& heard = m_centreHeard[aNews.origin];
   heard.Note(aNews.sequence);
   for (const AccountWork& work : aNews.accounts) {
-    m_centreSpent[work.account] +=
+    m_centre.spent[work.account] +=
       heard.Advance(heard.spent, work.account, work.spent);
-    m_centreAccounts.insert(work.account);
+    m_centre.new_accounts.insert(work.account);
   }
   for (const ServiceWork& work : aNews.services) {
-    ServiceWork& sum = m_centreServices[work.service];
+    ServiceWork& sum = m_centre.services[work.service];
     sum.service = work.service;
     sum.requests += heard.Advance(heard.requests, work.service, work.requests);
     sum.extras += heard.Advance(heard.extras, work.service, work.extras);
     sum.ended += heard.Advance(heard.ended, work.service, work.ended);
     sum.unserved += heard.Advance(heard.unserved, work.service, work.unserved);
-    m_centreServiceNews.insert(work.service);
+    m_centre.new_services.insert(work.service);
   }
 }
 
@@ -174,23 +174,35 @@
 void
 WorkRelay::TellCentre(TimePoint aNow)
 {
-  const bool due = m_large && aNow - m_lastCentre >= kCentrePeriod &&
-                   m_peers.NeighbourOrder(aNow) == 0;
-  if (!due || (m_centreAccounts.empty() && m_centreServiceNews.empty())) {
+  if (!m_large || m_peers.NeighbourOrder(aNow) != 0) {
+    m_tells = false;
+    return;
+  }
+  if (!m_tells) {
+    // Another one has told of what came before, but for the last
+    // PeerBookOptions::live_for if it has died.
+    m_tells = true;
+    m_centre = {};
+    ++m_tellingTimes;
+  }
+  const bool due = aNow - m_lastCentre >= kCentrePeriod;
+  if (!due ||
+      (m_centre.new_accounts.empty() && m_centre.new_services.empty())) {
     return;
   }
   m_lastCentre = aNow;
   WorkNews news;
-  news.origin = m_self.id ^ kCentreMark;
-  news.sequence = ++m_centreSequence;
-  for (std::uint32_t account : m_centreAccounts) {
-    news.accounts.push_back({ account, m_centreSpent[account] });
+  // Sums that begin anew are those of another sender.
+  news.origin = (m_self.id ^ kCentreMark) + m_tellingTimes;
+  news.sequence = ++m_centre.sequence;
+  for (std::uint32_t account : m_centre.new_accounts) {
+    news.accounts.push_back({ account, m_centre.spent[account] });
   }
-  for (std::uint32_t service : m_centreServiceNews) {
-    news.services.push_back(m_centreServices[service]);
+  for (std::uint32_t service : m_centre.new_services) {
+    news.services.push_back(m_centre.services[service]);
   }
-  m_centreAccounts.clear();
-  m_centreServiceNews.clear();
+  m_centre.new_accounts.clear();
+  m_centre.new_services.clear();
   m_spreader.SendOn(std::move(news), m_spreader.Relays(kUrgentRelays, aNow));
 }
 
--- a/src/sapphirelane/relay/work_relay.h
+++ b/src/sapphirelane/relay/work_relay.h
@@ -78,6 +78,16 @@
                           std::uint32_t aValue) const;
   };
 
+  /// What the daemons of this data centre have counted together.
+  struct CentreSums
+  {
+    std::uint32_t sequence = 0;
+    std::map<std::uint32_t, std::uint32_t> spent;
+    std::map<std::uint32_t, ServiceWork> services;
+    std::set<std::uint32_t> new_accounts; ///< Not told yet.
+    std::set<std::uint32_t> new_services; ///< Not told yet.
+  };
+
   void SendNews(std::size_t aRelays, TimePoint aNow);
   void SendToOwners(const WorkNews& aNews, std::size_t aRelays, TimePoint aNow);
   void NoteForCentre(const WorkNews& aNews);
@@ -94,13 +104,10 @@
   std::uint32_t m_sequence = 0;
   TimePoint m_lastNews{};
   bool m_large = false; ///< The fleet is large.
-  // What all daemons of this data centre have counted since this one listens.
   std::map<NodeId, Heard> m_centreHeard;
-  std::map<std::uint32_t, std::uint32_t> m_centreSpent;
-  std::map<std::uint32_t, ServiceWork> m_centreServices;
-  std::set<std::uint32_t> m_centreAccounts;    ///< Not told yet.
-  std::set<std::uint32_t> m_centreServiceNews; ///< Not told yet.
-  std::uint32_t m_centreSequence = 0;
+  CentreSums m_centre;
+  bool m_tells = false;             ///< It is this daemon that tells of them.
+  std::uint32_t m_tellingTimes = 0; ///< How often it began to.
   TimePoint m_lastCentre{};
 };
 
--- a/src/sapphirelane/relay/work_relay_test.cpp
+++ b/src/sapphirelane/relay/work_relay_test.cpp
@@ -5,16 +5,21 @@
 namespace sapphirelane {
 namespace {
 
-/// Drops everything that is sent.
-class SilentEnv : public StoreFleetEnv
+/// Keeps the news of work that are sent to another data centre.
+class RecordingEnv : public StoreFleetEnv
 {
 public:
-  void Send(const std::string& /*aAddress*/,
-            const PeerMessage& /*aMessage*/) override
+  void Send(const std::string& aAddress, const PeerMessage& aMessage) override
   {
+    const auto* news = std::get_if<WorkNews>(&aMessage);
+    if (news != nullptr && aAddress == "far:1") {
+      sent.push_back(*news);
+    }
   }
   void CallSource(SourceCall /*aCall*/) override {}
   void CallPeer(BulkCall /*aCall*/) override {}
+
+  std::vector<WorkNews> sent;
 };
 
 class WorkRelayFixture
@@ -54,7 +59,7 @@
 
   TimePoint m_now{ std::chrono::hours(1) };
   Random m_random{ 1 };
-  SilentEnv m_env;
+  RecordingEnv m_env;
   PeerBook m_peers{ {}, { 1, "self", "a", "self:1" } };
   Spreader m_spreader{ m_env, m_peers, m_random };
   QuotaLedger m_quota{ {} };
@@ -100,5 +105,52 @@
   CHECK(Left("a") == 14);
 }
 
+TEST_CASE_METHOD(WorkRelayFixture,
+                 "WorkRelay, daemon that begins to tell of its data centre, "
+                 "tells nothing that another one has told")
+{
+  // A neighbour that comes before this daemon, and one elsewhere.
+  std::string before = "x";
+  while (ShortHash(before) >= ShortHash("self")) {
+    before += "x";
+  }
+  const auto hear = [&](const std::string& aHost, NodeId aId, const char* aIn) {
+    PresenceNews news;
+    news.self = { aId, aHost, aIn, aHost + ":1" };
+    m_peers.OnPresence(news, m_now);
+  };
+  m_relay.SetLarge(true);
+  for (std::uint32_t step = 1; step <= 20; ++step) {
+    hear(before, 7, "a");
+    hear("far", 8, "b");
+    m_relay.OnNews(Spent(step, "a", 10 * step), m_now);
+    m_relay.Tick(m_now);
+    m_now += Milliseconds(100);
+  }
+  CHECK(m_env.sent.empty());
+  m_now += Milliseconds(1700); // The neighbour has died.
+  hear("far", 8, "b");
+  m_relay.Tick(m_now);
+  m_relay.NoteSpent("a", 3);
+  m_relay.Tick(m_now += Milliseconds(200)); // Notes this daemon's own.
+  m_relay.Tick(m_now += Milliseconds(200));
+  REQUIRE(m_env.sent.size() == 1);
+  REQUIRE(m_env.sent[0].accounts.size() == 1);
+  CHECK(m_env.sent[0].accounts[0].spent == 3);
+  const NodeId first = m_env.sent[0].origin;
+  // The neighbour comes back, and dies again.
+  hear(before, 9, "a");
+  m_relay.Tick(m_now);
+  m_now += Milliseconds(1700);
+  hear("far", 8, "b");
+  m_relay.Tick(m_now);
+  m_relay.NoteSpent("a", 2);
+  m_relay.Tick(m_now += Milliseconds(200)); // Notes this daemon's own.
+  m_relay.Tick(m_now += Milliseconds(200));
+  REQUIRE(m_env.sent.size() == 2);
+  CHECK(m_env.sent[1].origin != first);
+  CHECK(m_env.sent[1].accounts[0].spent == 2);
+}
+
 } // namespace
 } // namespace sapphirelane
