Leave few endpoints without work on calm load too

Change: endpoints that nobody used for 1 s (1.4 s before) get the next work that suits: requests that can be repeated, or others where none are, and these only on endpoints that fail with 0.3 at the most.

--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -22,8 +22,8 @@
   bool repeatable = false; ///< A failure can be mended by another attempt.
   std::uint64_t body_bytes = 0;
   Duration target{ 0 };           ///< Latency aimed at; 0 for none.
-  bool explores = false;          ///< Suits an endpoint nobody has tried yet.
-  bool spread = false;            ///< Neglected endpoints come first.
+  bool explores = false;          ///< Suits endpoints that are little used.
+  bool spread = false;            ///< Many requests of the service fail.
   std::vector<std::string> avoid; ///< Endpoints that it was sent to before.
 };
 
@@ -145,6 +145,7 @@
     const std::vector<Candidate>& aCandidates) const;
   std::optional<std::size_t> Neglected(
     const std::vector<Candidate>& aCandidates,
+    const PlaceRequest& aRequest,
     TimePoint aNow,
     Random& aRandom) const;
   bool IsElsewhere(const EndpointState& aState) const;
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -27,17 +27,22 @@
 constexpr double kRepeatableCost = 0.3;
 
 /// Time without work after which an endpoint is neglected: the floor is judged
-/// over 2 s, and the work has to reach the endpoint within them.
-constexpr Milliseconds kNeglectedAfter{ 1400 };
+/// over 2 s, of which less than half may be lost with the hosts.
+constexpr Milliseconds kNeglectedAfter{ 1000 };
 
 /// Time for which an endpoint that has failed work need not get any: it counts
 /// as sound again 2 s later, and is neglected as above from then on.
-constexpr Milliseconds kFailedFor{ 3400 };
+constexpr Milliseconds kFailedFor{ 3000 };
 
-/// Share of endpoints that may be without work while many requests fail. The
-/// floor allows 0.3 of the sound ones, which may be few.
+/// Share of endpoints that may be without work. The floor allows 0.3 of the
+/// sound ones, which may be few.
 constexpr double kMostIdleShare = 0.1;
 
+/// Probability of a failure above which a neglected endpoint gets no work that
+/// cannot be repeated, unless many requests fail already. The floor's 0.3 of
+/// endpoints may stay without work.
+constexpr double kTrustedFailure = 0.3;
+
 /// Cost of an endpoint elsewhere whose work is not all known here, in requests.
 constexpr double kElsewhereCost = 0.1;
 
@@ -199,8 +204,8 @@
   }
   const auto& choice = candidates.empty() ? avoided : candidates;
   auto special = aRequest.explores ? Newcomer(choice) : std::nullopt;
-  if (!special && aRequest.spread) {
-    special = Neglected(choice, aNow, aRandom);
+  if (!special && (aRequest.spread || aRequest.explores)) {
+    special = Neglected(choice, aRequest, aNow, aRandom);
   }
   const auto index =
     special ? special : m_balancer->Pick(choice, aNow, aRandom);
@@ -235,10 +240,12 @@
   return std::nullopt;
 }
 
-/// While many requests of the service fail, few of its endpoints may go without
-/// work. Draws one of them, so that daemons do not all choose the same.
+/// Few endpoints may go without work: when many requests fail, and as hosts may
+/// be lost at any moment, before that. Draws one of them, so that daemons do
+/// not all choose the same.
 std::optional<std::size_t>
 ServiceState::Neglected(const std::vector<Candidate>& aCandidates,
+                        const PlaceRequest& aRequest,
                         TimePoint aNow,
                         Random& aRandom) const
 {
@@ -263,7 +270,9 @@
   std::vector<std::size_t> neglected;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const EndpointState& state = m_endpoints.at(aCandidates[i].id);
-    if (counts(state) && isIdle(state)) {
+    const bool trusted = aRequest.spread || aRequest.repeatable ||
+                         aCandidates[i].failure <= kTrustedFailure;
+    if (counts(state) && isIdle(state) && trusted) {
       neglected.push_back(i);
     }
   }
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -116,6 +116,40 @@
   }
 }
 
+/// Replays a calm load on many endpoints up to a moment at which all hosts are
+/// lost: of the 2 s around it, the second before has to show the floor.
+TEST_CASE_METHOD(
+  ServiceLoadFixture,
+  "ServiceState, calm load on many endpoints, gives most of them "
+  "some work in any 1.5 s")
+{
+  Make(44, 2);
+  m_gap = Milliseconds(10);
+  m_work = Milliseconds(290);
+  PlaceRequest request;
+  request.explores = true;
+  request.repeatable = true;
+  Send(300, request);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(Send(150, request).size() >= 31); // 0.7 of 44, rounded up.
+  }
+}
+
+TEST_CASE_METHOD(ServiceLoadFixture,
+                 "ServiceState, calm load that cannot be repeated, tries no "
+                 "endpoint that is likely to fail it")
+{
+  m_failing = { "e103" };
+  PlaceRequest request;
+  request.explores = true;
+  Send(80, request);
+  int there = 0;
+  for (int i = 0; i < 80; ++i) {
+    there += static_cast<int>(Send(1, request).count("e103"));
+  }
+  CHECK(there <= 2);
+}
+
 TEST_CASE_METHOD(
   ServiceLoadFixture,
   "ServiceState, endpoint joins beside proven ones, gets work at "
