Weigh waiting by the probability of missing target and caller's limit

The cost of an answer past its target was capped and ignored the caller's limit, and an endpoint's old latency faded to nothing, so that little used ones looked faster than they are. Ruled out: unknown work of other daemons (in_flight in the log is the sum). Change: probability that a lognormal time passes the target (loses 0.7) and the time left (loses all); old latency fades to the service's mean; a failure of repeatable work costs 0.15. Tests: ExpectedCost, proven endpoint with a queue; little time left.

--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -22,6 +22,7 @@
   bool repeatable = false; ///< A failure can be mended by another attempt.
   std::uint64_t body_bytes = 0;
   Duration target{ 0 };           ///< Latency aimed at; 0 for none.
+  Duration left{ 0 };             ///< Time that the caller waits; 0 for long.
   bool explores = false;          ///< Suits endpoints that are little used.
   bool spread = false;            ///< Many requests of the service fail.
   std::vector<std::string> avoid; ///< Endpoints that it was sent to before.
@@ -167,6 +168,7 @@
   std::string m_service;
   std::uint32_t m_floor = 0;
   bool m_hearsAll = true;
+  Duration m_meanLatency{ 0 }; ///< Of the service, at the last placement.
   std::map<std::string, EndpointState> m_endpoints;
   bool m_badEvidence = false;
 };
--- a/include/sapphirelane/routing/balancer.h
+++ b/include/sapphirelane/routing/balancer.h
@@ -25,6 +25,7 @@
   Duration latency{ 0 };              ///< Smoothed time to the first byte.
   Duration in_service_for{ 0 };       ///< Since the endpoint became eligible.
   Duration target{ 0 };               ///< Latency aimed at; 0 for none.
+  Duration left{ 0 };       ///< Time that the caller still waits; 0 for long.
   double failure = 0;       ///< Probability that it fails the request.
   double failure_cost = 0;  ///< What a failure loses, in requests.
   double transfer_cost = 0; ///< Of sending it there, in requests.
@@ -65,9 +66,10 @@
 /// @brief Options of the expected-cost balancer. Costs are in requests lost.
 struct ExpectedCostOptions
 {
-  /// Of an answer that is expected at its target. Half of those answers are
-  /// late and lose 0.7, but the share falls steeply below the target.
-  double late_cost = 0.2;
+  double late_cost =
+    0.7; ///< Of an answer past its target, of the users' kinds.
+  /// Deviation of the logarithm of the time to an answer; of the users' work.
+  double time_spread = 0.6;
   double load_cost = 0.005;   ///< Of all slots of an endpoint being in use.
   double cold_factor = 2;     ///< Times as long that a cold endpoint takes.
   double connect_cost = 0.03; ///< Of a new connection, which takes a slot.
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -511,6 +511,7 @@
     place.repeatable = safe;
     place.body_bytes = aRequest.head.length.value_or(0);
     place.target = aRequest.route.target;
+    place.left = aRequest.deadline - aNow;
     place.avoid = aRequest.tried;
     if (safe) {
       service.safe_seen = aNow;
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -23,8 +23,9 @@
 /// request that carries a body is worth 2.
 constexpr double kTransferCost = 3;
 
-/// What a failure loses of a request that can be repeated: a later answer.
-constexpr double kRepeatableCost = 0.3;
+/// What a failure loses of a request that can be repeated: the second attempt
+/// is later and may fail as well, which a tenth do.
+constexpr double kRepeatableCost = 0.15;
 
 /// Time without work after which an endpoint is neglected: the floor is judged
 /// over 2 s, of which less than half may be lost with the hosts.
@@ -146,6 +147,7 @@
   candidate.in_flight = aState.in_flight;
   candidate.others_in_flight = aState.others_in_flight;
   candidate.target = aRequest.target;
+  candidate.left = aRequest.left;
   candidate.failure = m_ejector->FailureOf(aState.endpoint.id, aNow);
   candidate.failure_cost = aRequest.repeatable ? kRepeatableCost : 1;
   candidate.connected =
@@ -159,12 +161,14 @@
   }
   candidate.reported_load = aState.load;
   candidate.report_age = aNow - aState.load_time;
-  // An old estimate fades, so that a slow moment is not held against an
-  // endpoint that is no longer chosen.
+  // An old estimate fades towards that of the service, so that a slow moment is
+  // not held against an endpoint that is no longer chosen.
   const double age = ToSeconds(aNow - aState.latency_time);
-  const double kept = std::exp2(-age / ToSeconds(kLatencyHalfLife));
-  candidate.latency = std::chrono::duration_cast<Duration>(
-    Seconds(ToSeconds(aState.latency) * kept));
+  const double kept = aState.latency > Duration::zero()
+                        ? std::exp2(-age / ToSeconds(kLatencyHalfLife))
+                        : 0;
+  candidate.latency = std::chrono::duration_cast<Duration>(Seconds(
+    ToSeconds(aState.latency) * kept + ToSeconds(m_meanLatency) * (1 - kept)));
   candidate.in_service_for = aNow - aState.since;
   return candidate;
 }
@@ -181,6 +185,7 @@
                     TimePoint aNow,
                     Random& aRandom)
 {
+  m_meanLatency = MeanLatency();
   std::vector<Candidate> candidates;
   std::vector<Candidate> avoided;
   for (auto& [id, state] : m_endpoints) {
--- a/src/sapphirelane/routing/expected_cost.cpp
+++ b/src/sapphirelane/routing/expected_cost.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "sapphirelane/routing/balancer.h"
 
@@ -43,17 +44,30 @@
     const double slots = std::max(1U, aCandidate.slots);
     const double ahead = aCandidate.in_flight + aCandidate.others_in_flight;
     const double waiting = std::max(0.0, ahead + 1 - slots) / slots;
-    const double latency = Latency(aCandidate);
-    const double target = ToSeconds(aCandidate.target > Duration::zero()
-                                      ? aCandidate.target
-                                      : m_options.default_target);
-    const double late = std::min(1.0, latency * (1 + waiting) / target);
+    const double time = Latency(aCandidate) * (1 + waiting);
+    const Duration target = aCandidate.target > Duration::zero()
+                              ? aCandidate.target
+                              : m_options.default_target;
+    const double lost = aCandidate.left > Duration::zero()
+                          ? LongerThan(aCandidate.left, time)
+                          : 0;
+    const double late = std::max(lost, LongerThan(target, time));
     const double connect = aCandidate.connected ? 0 : m_options.connect_cost;
     return connect + aCandidate.failure * aCandidate.failure_cost +
-           aCandidate.transfer_cost + m_options.late_cost * late * late +
+           aCandidate.transfer_cost + m_options.late_cost * late +
+           (1 - m_options.late_cost) * lost +
            m_options.load_cost * std::min(1.0, ahead / slots);
   }
 
+  /// @return Probability that an answer takes longer than a time.
+  /// @param aMean Mean time to it, in seconds.
+  double LongerThan(Duration aTime, double aMean) const
+  {
+    const double spread = m_options.time_spread;
+    const double ratio = std::log(ToSeconds(aTime) / aMean) / spread;
+    return std::erfc((ratio + spread / 2) / std::sqrt(2.0)) / 2;
+  }
+
   double Latency(const Candidate& aCandidate) const
   {
     const double known = ToSeconds(aCandidate.latency > Duration::zero()
--- a/src/sapphirelane/routing/expected_cost_test.cpp
+++ b/src/sapphirelane/routing/expected_cost_test.cpp
@@ -69,6 +69,46 @@
   CHECK(Pick({ far, near }) == "far");
 }
 
+/// Requests that can be repeated, some of 2 slots of the proven endpoint full
+/// several times over while doubted ones idle; on a day of cdmc-lane, callers
+/// left such a queue without an answer.
+TEST_CASE_METHOD(ExpectedCostFixture,
+                 "ExpectedCost, proven endpoint with a queue that would miss "
+                 "the target, gives way to an idle one less proven")
+{
+  Candidate proven = Idle("proven");
+  proven.latency = Milliseconds(290);
+  proven.left = Milliseconds(1400);
+  proven.failure = 0.09;
+  proven.failure_cost = 0.15;
+  proven.connected = true;
+  Candidate idle = proven;
+  idle.id = "idle";
+  idle.failure = 0.3;
+  idle.connected = false;
+  proven.others_in_flight = 5;
+  CHECK(Pick({ proven, idle }) == "idle");
+  proven.others_in_flight = 1;
+  CHECK(Pick({ proven, idle }) == "proven");
+}
+
+TEST_CASE_METHOD(ExpectedCostFixture,
+                 "ExpectedCost, little time left, goes where it is soonest "
+                 "done")
+{
+  Candidate near = Idle("near");
+  near.target = Milliseconds(5000);
+  near.left = Milliseconds(300);
+  near.in_flight = 2;
+  Candidate far = near;
+  far.id = "far";
+  far.in_flight = 0;
+  far.transfer_cost = 0.05;
+  CHECK(Pick({ near, far }) == "far");
+  near.left = far.left = Milliseconds(5000);
+  CHECK(Pick({ near, far }) == "near");
+}
+
 TEST_CASE_METHOD(ExpectedCostFixture,
                  "ExpectedCost, equal endpoints, draws from all")
 {
