Let requests wait a moment for the first configuration

Change: in the first 0.5 s of a daemon requests wait for the configuration; from then on they are refused at once, with a time to come back. Tests: Dispatcher, request before the configuration is known; configuration that does not come; caller that leaves. All three failed before.

--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "sapphirelane/proxy/dispatcher.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -18,6 +19,11 @@
 
 namespace {
 
+/// Time after the start in which requests wait for the first configuration. A
+/// daemon whose store answers knows it within a few answers; another one
+/// refuses at once from then on.
+constexpr Milliseconds kConfigWait{ 500 };
+
 /// How often a repeat of a running claim asks for its answer.
 constexpr Milliseconds kClaimPoll{ 50 };
 
@@ -83,33 +89,16 @@
 
   void OnRequest(ExchangePtr aExchange, TimePoint aNow) override
   {
-    const std::uint64_t id = aExchange->Head().id;
-    PendingRequest request;
-    request.exchange = std::move(aExchange);
-    request.head = CheckHead(request.exchange->Head(), m_options.dialect);
-    request.name = request.head.request_id.empty() ? std::to_string(id)
-                                                   : request.head.request_id;
-    m_services.Load(aNow);
-    auto refusal = m_gate.Admit(request, m_requests.size(), aNow);
-    if (refusal) {
-      RefuseUnheld(request, *refusal);
-      if (!request.service.empty()) {
-        m_control.NoteOutcome(request.service, false, aNow);
-      }
+    const bool early =
+      AwaitsConfig(aNow) && m_early.size() < m_options.limits.in_flight;
+    if (early) {
+      LogLine("admit",
+              "The request waits for the configuration.",
+              LogFields().Add("request", aExchange->Head().id));
+      m_early.push_back(std::move(aExchange));
       return;
     }
-    request.service = ChooseService(request.route);
-    const std::string service = request.service;
-    PendingRequest& held = m_requests[id] = std::move(request);
-    if (held.account.empty()) {
-      Enqueue(id, held, aNow);
-    } else {
-      held.token = m_control.AskToken(held.account, held.deadline, aNow);
-      m_asks[held.token] = id;
-    }
-    TakeControlEvents(aNow);
-    Serve(service, aNow);
-    LogIfWaiting(id, aNow);
+    Take(std::move(aExchange), aNow);
   }
 
   void OnAttempt(const AttemptEvent& aEvent, TimePoint aNow) override
@@ -137,6 +126,7 @@
   void OnTick(TimePoint aNow) override
   {
     m_services.Load(aNow);
+    TakeEarly(aNow);
     TakeControlEvents(aNow);
     CheckRequests(aNow);
     for (const auto& entry : m_services.All()) {
@@ -149,7 +139,10 @@
 
   void Drain() override { m_gate.Close(); }
 
-  std::size_t InFlight() const override { return m_requests.size(); }
+  std::size_t InFlight() const override
+  {
+    return m_requests.size() + m_early.size();
+  }
 
   std::string Explain(std::uint64_t aRequest) const override
   {
@@ -157,6 +150,60 @@
   }
 
 private:
+  /// The daemon has just started and is about to know its configuration.
+  bool AwaitsConfig(TimePoint aNow)
+  {
+    m_begun = m_begun == TimePoint{} ? aNow : m_begun;
+    return m_control.Config() == nullptr && aNow - m_begun < kConfigWait;
+  }
+
+  /// Takes up what waited for the configuration, or has waited long enough.
+  void TakeEarly(TimePoint aNow)
+  {
+    while (!m_early.empty()) {
+      if (AwaitsConfig(aNow)) {
+        return;
+      }
+      ExchangePtr exchange = std::move(m_early.front());
+      m_early.pop_front();
+      if (!exchange->IsCallerGone()) {
+        Take(std::move(exchange), aNow);
+      }
+    }
+  }
+
+  /// Admits a request and begins with it, or refuses it.
+  void Take(ExchangePtr aExchange, TimePoint aNow)
+  {
+    const std::uint64_t id = aExchange->Head().id;
+    PendingRequest request;
+    request.exchange = std::move(aExchange);
+    request.head = CheckHead(request.exchange->Head(), m_options.dialect);
+    request.name = request.head.request_id.empty() ? std::to_string(id)
+                                                   : request.head.request_id;
+    m_services.Load(aNow);
+    auto refusal = m_gate.Admit(request, m_requests.size(), aNow);
+    if (refusal) {
+      RefuseUnheld(request, *refusal);
+      if (!request.service.empty()) {
+        m_control.NoteOutcome(request.service, false, aNow);
+      }
+      return;
+    }
+    request.service = ChooseService(request.route);
+    const std::string service = request.service;
+    PendingRequest& held = m_requests[id] = std::move(request);
+    if (held.account.empty()) {
+      Enqueue(id, held, aNow);
+    } else {
+      held.token = m_control.AskToken(held.account, held.deadline, aNow);
+      m_asks[held.token] = id;
+    }
+    TakeControlEvents(aNow);
+    Serve(service, aNow);
+    LogIfWaiting(id, aNow);
+  }
+
   /// Draws one of the services that share a route's requests.
   std::string ChooseService(const Route& aRoute)
   {
@@ -1250,6 +1297,8 @@
   std::uint64_t m_nextAttempt;
   std::unique_ptr<RetryPolicy> m_retry;
   std::unique_ptr<RetryPolicy> m_hedge;
+  std::deque<ExchangePtr> m_early; ///< Wait for the configuration.
+  TimePoint m_begun{};             ///< First tick or request.
   RequestGate m_gate;
   ServiceBook m_services;
   std::unordered_map<std::uint64_t, PendingRequest> m_requests;
--- a/src/sapphirelane/proxy/request_gate.cpp
+++ b/src/sapphirelane/proxy/request_gate.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// When a caller may come back to a host that cannot read its configuration;
+/// about as long as it takes until another host is in its place.
+constexpr Milliseconds kConfigRetry{ 1000 };
+
 Refusal
 NotRun(int aStatus, const char* aReason, const std::string& aDetail)
 {
@@ -60,8 +64,10 @@
     return NotRun(503, "busy", "this host is full");
   }
   if (m_control.Config() == nullptr) {
-    return NotRun(
-      503, "no-configuration", "this host has no configuration yet");
+    Refusal refusal =
+      NotRun(503, "no-configuration", "this host has no configuration yet");
+    refusal.retry_after = kConfigRetry;
+    return refusal;
   }
   return std::nullopt;
 }
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -18,7 +18,10 @@
 class FakeControl : public FleetControl
 {
 public:
-  const FleetConfig* Config() const override { return &config; }
+  const FleetConfig* Config() const override
+  {
+    return known ? &config : nullptr;
+  }
   const KeyDirectory& Keys() const override { return keys; }
   bool IsFresh(TimePoint /*aNow*/) const override { return fresh; }
   std::pair<std::size_t, std::size_t> Rank() const override { return { 0, 1 }; }
@@ -82,6 +85,7 @@
 
   FleetConfig config;
   KeyDirectory keys;
+  bool known = true; ///< The configuration is.
   bool fresh = true;
   bool may_send = true;
   int tokens = 100;
@@ -344,6 +348,49 @@
   CheckGolden("upstream_fails");
 }
 
+/// Callers come at once when all hosts have been killed and started again; the
+/// configuration follows within 0.15 s.
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, request before the configuration is known, waits "
+                 "for it a moment")
+{
+  m_control.known = false;
+  const auto exchange = Send("GET", "/read/1");
+  CHECK(m_dispatcher->InFlight() == 1);
+  Pass(Milliseconds(150));
+  CHECK(Status(exchange) == 0);
+  m_control.known = true;
+  Pass(Milliseconds(10));
+  CHECK(m_upstreams.orders.size() == 1);
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, configuration that does not come, refuses what "
+                 "waited with a time to come back")
+{
+  m_control.known = false;
+  const auto exchange = Send("POST", "/plain/1");
+  Pass(Milliseconds(600));
+  CHECK(Status(exchange) == 503);
+  CHECK(Outcome(exchange) == "not-run");
+  CHECK(FindHeader(exchange->CallerTakeHead()->headers, "Retry-After"));
+  CHECK(Status(Send("POST", "/plain/2")) == 503); // At once from now on.
+  CHECK(m_dispatcher->InFlight() == 0);
+  CHECK(m_upstreams.orders.empty());
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, caller that leaves before the configuration is "
+                 "known, has nothing sent")
+{
+  m_control.known = false;
+  Send("GET", "/read/1")->CallerLeave();
+  m_control.known = true;
+  Pass(Milliseconds(20));
+  CHECK(m_upstreams.orders.empty());
+  CHECK(m_dispatcher->InFlight() == 0);
+}
+
 TEST_CASE_METHOD(SessionFixture,
                  "Dispatcher, run-once after a byte was sent, makes no further "
                  "attempt")
