Judge endpoints 20 times a second, seal a message once for all, sum news longer

Each news of work made every daemon that heard it judge all endpoints of the service anew and copy their states; each message to a data centre was encoded and sealed once for each of 36 daemons. Ruled out so far: nothing was profiled; the count is worked out: 690 requests a second x 2 news x 36 daemons are 50,000 messages a second. Change: judgements every 50 ms (beliefs move with each result as before), states are no longer copied, one envelope for all receivers, news of good work of a large fleet held back for 100 ms in place of 20.

--- a/include/sapphirelane/kernel/peer_link.h
+++ b/include/sapphirelane/kernel/peer_link.h
@@ -26,6 +26,10 @@
 class DatagramDuty : public Duty
 {
 public:
+  /// @brief Sends one message to several addresses, sealed once.
+  virtual void SendAll(const std::vector<std::string>& aAddresses,
+                       const PeerMessage& aMessage) = 0;
+
   virtual void Send(const std::string& aAddress,
                     const PeerMessage& aMessage) = 0;
 };
--- a/include/sapphirelane/relay/store_fleet.h
+++ b/include/sapphirelane/relay/store_fleet.h
@@ -24,8 +24,8 @@
 public:
   virtual ~StoreFleetEnv() = default;
 
-  /// @brief Sends a datagram; it may be lost, late or doubled.
-  virtual void Send(const std::string& aAddress,
+  /// @brief Sends a datagram to each address; it may be lost, late or doubled.
+  virtual void Send(const std::vector<std::string>& aAddresses,
                     const PeerMessage& aMessage) = 0;
 
   /// @brief Starts a call of the store; its result follows.
--- a/src/sapphirelane/kernel/datagram_duty.cpp
+++ b/src/sapphirelane/kernel/datagram_duty.cpp
@@ -59,6 +59,15 @@
 
   void Send(const std::string& aAddress, const PeerMessage& aMessage) override
   {
+    SendAll({ aAddress }, aMessage);
+  }
+
+  void SendAll(const std::vector<std::string>& aAddresses,
+               const PeerMessage& aMessage) override
+  {
+    if (aAddresses.empty()) {
+      return;
+    }
     const std::string bytes = EncodeMessage(aMessage);
     if (bytes.size() > kMostDatagram) {
       m_metrics.Count("peer_dropped_total", { { "reason", "too large" } });
@@ -69,16 +78,18 @@
       std::lock_guard<std::mutex> lock(m_sendMutex);
       envelope = m_sender.Seal(bytes, std::chrono::system_clock::now());
     }
-    const sockaddr_in address = ParseAddress(aAddress);
-    sendto(m_socket.Get(),
-           envelope.data(),
-           envelope.size(),
-           MSG_DONTWAIT,
-           reinterpret_cast<const sockaddr*>(&address),
-           sizeof address);
+    for (const std::string& one : aAddresses) {
+      const sockaddr_in address = ParseAddress(one);
+      sendto(m_socket.Get(),
+             envelope.data(),
+             envelope.size(),
+             MSG_DONTWAIT,
+             reinterpret_cast<const sockaddr*>(&address),
+             sizeof address);
+    }
     m_metrics.Count("peer_sent_bytes_total",
                     { { "link", "udp" } },
-                    static_cast<double>(envelope.size()));
+                    static_cast<double>(envelope.size() * aAddresses.size()));
   }
 
 private:
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -319,7 +319,6 @@
     ServiceEntry* service = m_services.Find(aEvidence.service);
     if (service != nullptr) {
       service->state->ObserveFleet(aEvidence, aNow);
-      m_services.Judge(aEvidence.service, aNow);
       Serve(aEvidence.service, aNow);
     }
   }
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Between two judgements of a service's endpoints; each looks at all of them.
+/// Probabilities of failure change with each result, between judgements too.
+constexpr Milliseconds kJudgePeriod{ 50 };
+
 /// Between two exchanges of evidence about one service.
 constexpr Milliseconds kSharePeriod{ 250 };
 
@@ -91,6 +95,10 @@
 ServiceBook::Judge(const std::string& aName, TimePoint aNow)
 {
   ServiceEntry& service = m_services.at(aName);
+  if (aNow - service.judged < kJudgePeriod) {
+    return;
+  }
+  service.judged = aNow;
   for (const EjectionChange& change : service.state->Judge(aNow)) {
     LogLine("health",
             "An endpoint's standing has changed.",
--- a/src/sapphirelane/proxy/service_book.h
+++ b/src/sapphirelane/proxy/service_book.h
@@ -22,6 +22,7 @@
   std::size_t reserved = 0; ///< Slots of requests that await their claim.
   bool has_safe_route = false;
   TimePoint safe_seen{}; ///< When safe work was last placed.
+  TimePoint judged{};    ///< When its endpoints were judged last.
   TimePoint shared{};    ///< When evidence was last shared.
 };
 
--- a/src/sapphirelane/proxy/store_fleet_runtime.cpp
+++ b/src/sapphirelane/proxy/store_fleet_runtime.cpp
@@ -128,9 +128,10 @@
 
   // StoreFleetEnv, on the deciding thread.
 
-  void Send(const std::string& aAddress, const PeerMessage& aMessage) override
+  void Send(const std::vector<std::string>& aAddresses,
+            const PeerMessage& aMessage) override
   {
-    m_datagrams->Send(aAddress, aMessage);
+    m_datagrams->SendAll(aAddresses, aMessage);
   }
 
   void CallSource(SourceCall aCall) override
--- a/src/sapphirelane/relay/spreader.h
+++ b/src/sapphirelane/relay/spreader.h
@@ -54,10 +54,7 @@
   void SpreadOn(News aNews, TimePoint aNow) const
   {
     aNews.spread = false;
-    const PeerMessage message = std::move(aNews);
-    for (const std::string& address : m_peers.Neighbours(aNow)) {
-      m_env.Send(address, message);
-    }
+    m_env.Send(m_peers.Neighbours(aNow), std::move(aNews));
   }
 
   /// @brief Sends to daemons that send it on in their data centres.
@@ -65,10 +62,7 @@
   void SendOn(News aNews, const std::vector<std::string>& aRelays) const
   {
     aNews.spread = true;
-    const PeerMessage message = std::move(aNews);
-    for (const std::string& address : aRelays) {
-      m_env.Send(address, message);
-    }
+    m_env.Send(aRelays, std::move(aNews));
   }
 
 private:
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -360,11 +360,8 @@
 
   void SendPresence(TimePoint aNow)
   {
-    const PeerMessage message = Presence(aNow);
-    for (const std::string& address :
-         m_peers.PresenceTargets(kRemotePresence, m_random)) {
-      m_env.Send(address, message);
-    }
+    m_env.Send(m_peers.PresenceTargets(kRemotePresence, m_random),
+               Presence(aNow));
   }
 
   void Handle(const std::string& aAddress,
@@ -379,7 +376,7 @@
                 .Add("host", aNews.self.host)
                 .Add("data_centre", aNews.self.data_centre)
                 .Add("leaving", aNews.leaving ? "yes" : "no"));
-      m_env.Send(aAddress, Presence(aNow));
+      m_env.Send({ aAddress }, Presence(aNow));
     }
   }
 
--- a/src/sapphirelane/relay/store_fleet_test.cpp
+++ b/src/sapphirelane/relay/store_fleet_test.cpp
@@ -120,9 +120,12 @@
     {
     }
 
-    void Send(const std::string& aAddress, const PeerMessage& aMessage) override
+    void Send(const std::vector<std::string>& aAddresses,
+              const PeerMessage& aMessage) override
     {
-      world.Deliver(number, aAddress, EncodeMessage(aMessage));
+      for (const std::string& address : aAddresses) {
+        world.Deliver(number, address, EncodeMessage(aMessage));
+      }
     }
     void CallSource(SourceCall aCall) override { world.Call(number, aCall); }
     void CallPeer(BulkCall aCall) override { world.Bulk(number, aCall); }
--- a/src/sapphirelane/relay/work_relay.cpp
+++ b/src/sapphirelane/relay/work_relay.cpp
@@ -16,8 +16,12 @@
 /// Tells the sender of a data centre's sums from the daemon that sends them.
 constexpr NodeId kCentreMark = 0x8000000000000000ULL;
 
-/// Longest time for which news of good work is held back to be summed up.
+/// Longest time for which news of good work is held back to be summed up, and
+/// the same in a large fleet, where each costs as many messages as a data
+/// centre has daemons. News of requests that begin or fail takes the others
+/// along.
 constexpr Milliseconds kNewsPeriod{ 20 };
+constexpr Milliseconds kLargeNewsPeriod{ 100 };
 
 /// Sequence up to which a daemon's counters are taken whole when it is first
 /// heard; beyond it, it counted before this daemon listened.
@@ -76,7 +80,8 @@
 WorkRelay::Tick(TimePoint aNow)
 {
   TellCentre(aNow);
-  if (m_board.HasNews() && aNow - m_lastNews >= kNewsPeriod) {
+  const Duration period = m_large ? kLargeNewsPeriod : kNewsPeriod;
+  if (m_board.HasNews() && aNow - m_lastNews >= period) {
     SendNews(kRelays, aNow);
   }
 }
--- a/src/sapphirelane/relay/work_relay_test.cpp
+++ b/src/sapphirelane/relay/work_relay_test.cpp
@@ -9,10 +9,11 @@
 class RecordingEnv : public StoreFleetEnv
 {
 public:
-  void Send(const std::string& aAddress, const PeerMessage& aMessage) override
+  void Send(const std::vector<std::string>& aAddresses,
+            const PeerMessage& aMessage) override
   {
     const auto* news = std::get_if<WorkNews>(&aMessage);
-    if (news != nullptr && aAddress == "far:1") {
+    if (news != nullptr && aAddresses == std::vector<std::string>{ "far:1" }) {
       sent.push_back(*news);
     }
   }
--- a/src/sapphirelane/routing/spell_ejector.cpp
+++ b/src/sapphirelane/routing/spell_ejector.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 
 #include "sapphirelane/routing/ejector.h"
 
@@ -82,13 +83,14 @@
     TimePoint aNow) override
   {
     std::vector<EjectionChange> changes;
-    std::map<std::string, State> kept;
+    std::set<std::string> known;
     for (const JudgedEndpoint& endpoint : aEndpoints) {
       auto found = m_states.find(endpoint.id);
       if (found == m_states.end()) {
         continue;
       }
-      State& state = kept[endpoint.id] = found->second;
+      known.insert(endpoint.id);
+      State& state = found->second;
       const bool doubted = BeliefAt(state, aNow) > kDoubted;
       if (doubted != state.reported) {
         state.reported = doubted;
@@ -98,7 +100,11 @@
           { endpoint.id, doubted, "in a spell with " + percent + "%" });
       }
     }
-    m_states = std::move(kept);
+    if (known.size() < m_states.size()) {
+      for (auto it = m_states.begin(); it != m_states.end();) {
+        it = known.count(it->first) == 1 ? std::next(it) : m_states.erase(it);
+      }
+    }
     return changes;
   }
 
