--- a/src/sapphirelane/base/signal_waiter_test.cpp
+++ b/src/sapphirelane/base/signal_waiter_test.cpp
@@ -20,10 +20,10 @@
 {
   SignalWaiter waiter;
   pthread_kill(pthread_self(), SIGHUP);
-  pthread_kill(pthread_self(), SIGTERM);
+  pthread_kill(pthread_self(), SIGINT);
   const int first = waiter.Wait();
   const int second = waiter.Wait();
-  CHECK(first + second == SIGHUP + SIGTERM);
+  CHECK(first + second == SIGHUP + SIGINT);
 }
 
 } // namespace
