--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -167,7 +167,5 @@
                 world.write_config()
                 await asyncio.sleep(0.2)
         else:
-            for number in range(200):
-                name = f"more-{number}"
-                world.allowed.setdefault(name, {"scripts"})
+            world.add_idle_routes(200)
             world.write_config()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -52,6 +52,7 @@
                      for name in self.rates}
         self.withdrawn = {}          # key -> time
         self.routes = {}
+        self.idle_routes = []
         self.allowed = {}            # route -> services of any version
         for name, kind, service in (
                 ("read", "idempotent", "scripts"),
@@ -71,6 +72,13 @@
         self.routes[route.name] = route
         self.allowed.setdefault(route.name, set()).add(route.service)
 
+    def add_idle_routes(self, count):
+        """Adds routes that nobody calls."""
+        first = len(self.idle_routes)
+        self.idle_routes += [Route(f"more-{i}", f"/more/{i}/", "idempotent",
+                                   "scripts")
+                             for i in range(first, first + count)]
+
     def write_config(self):
         self.version += self.random.randint(1, 3)
         resources = [
@@ -78,7 +86,7 @@
                 "host": self.host, "prefix": one.prefix, "kind": one.kind,
                 "timeout_s": 2, "target_latency_s": 0.5, "max_attempts": 2,
                 "priority": 1, "service": one.service}}
-            for one in self.routes.values()]
+            for one in [*self.routes.values(), *self.idle_routes]]
         resources += [{"type": "services", "metadata": {"name": name}, "spec": {
             "health_path": "/health", "max_connections": 300}}
             for name in ("scripts", "cues", "voice")]
