End with exit code 1 when an error ends the daemon while it logs

Cause: the thread that writes the log was still joinable when an exception left Run, so the program aborted (exit code 134) after telling the error. Change: LogSession closes the log on every way out.

--- a/src/sapphirelane/programs/entry.cpp
+++ b/src/sapphirelane/programs/entry.cpp
@@ -23,6 +23,20 @@
 /// Longest wait at the end for a log that nobody reads.
 constexpr sapphirelane::Milliseconds kLogPatience{ 500 };
 
+/// Keeps the log open; what waits is written also when an error ends the
+/// daemon.
+class LogSession
+{
+public:
+  explicit LogSession(const std::string& aPath)
+  {
+    sapphirelane::OpenLog(aPath);
+  }
+  ~LogSession() { sapphirelane::CloseLog(kLogPatience); }
+  LogSession(const LogSession&) = delete;
+  LogSession& operator=(const LogSession&) = delete;
+};
+
 /// Checks a settings file that may have changed. Listeners and links keep what
 /// they were started with, so that no request is cut off.
 void
@@ -50,10 +64,7 @@
   while (aSignals.Wait() == SIGHUP) {
     CheckAgain(aFile);
   }
-  const bool finished = app->StopPlanned();
-  app.reset();
-  sapphirelane::CloseLog(kLogPatience);
-  return finished ? kExitOk : kExitCutOff;
+  return app->StopPlanned() ? kExitOk : kExitCutOff;
 }
 
 int
@@ -95,7 +106,7 @@
     std::cout << "settings are sound\n";
     return kExitOk;
   }
-  sapphirelane::OpenLog(settings.log);
+  const LogSession log(settings.log);
   curl_global_init(CURL_GLOBAL_DEFAULT);
   return Serve(settings, values["settings"].as<std::string>(), signals);
 }
