Log which view a request was sent on, who leaves, and why endpoints idle

The logs could not tell the hypotheses of the incident apart: they said how old a view was taken to be, not which version it held or who refreshed it, and nothing of endpoints that get no requests.

Each attempt's line now has view_version and view_from; each daemon writes a line when an endpoint leaves or its entry goes, with the version of that change; once a second and service, while more than 5% of its requests are not served, a daemon writes how many endpoints are idle and why. No decision changes.

--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -76,6 +76,14 @@
   std::vector<EndpointEvidence> endpoints;
 };
 
+/// @brief Version and source of a daemon's view of the endpoints.
+struct ViewState
+{
+  std::uint64_t version = 0; ///< Store version up to which it is complete.
+  Duration age{ 0 };         ///< Time since it matched the store.
+  std::string source;        ///< "store", or the daemon that refreshed it.
+};
+
 using ControlEvent = std::variant<TokenResult, ClaimResult, FleetEvidence>;
 
 /// @brief Interface between the request path of a daemon and the control plane
@@ -97,8 +105,8 @@
   /// @brief Tells whether the configuration is confirmed to be the newest.
   virtual bool IsFresh(TimePoint aNow) const = 0;
 
-  /// @brief Age of the view of the endpoints; nothing if it does not age.
-  virtual std::optional<Duration> ViewAge(TimePoint /*aNow*/) const
+  /// @brief State of the view of the endpoints; nothing if it does not age.
+  virtual std::optional<ViewState> View(TimePoint /*aNow*/) const
   {
     return std::nullopt;
   }
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -37,6 +37,13 @@
   LogFields inputs;   ///< Inputs of the choice, for the log.
 };
 
+/// @brief An endpoint in service without requests, and why.
+struct IdleEndpoint
+{
+  std::string endpoint;
+  std::string reason; ///< Why it was passed over; see IdleReason.
+};
+
 /// @brief Options of ServiceState.
 struct ServiceStateOptions
 {
@@ -128,6 +135,10 @@
   /// @brief Number of ejected endpoints.
   std::size_t Ejected() const;
 
+  /// @brief Endpoints in service to which this daemon knows of no request for a
+  /// while, with the reason why placement passes them over.
+  std::vector<IdleEndpoint> IdleEndpoints(TimePoint aNow) const;
+
 private:
   struct EndpointState
   {
@@ -159,6 +170,7 @@
     TimePoint aNow,
     Random& aRandom) const;
   bool IsInOtherDataCentre(const EndpointState& aState) const;
+  std::string IdleReason(const EndpointState& aState, TimePoint aNow) const;
   std::uint32_t FreeCapacity(const EndpointState& aState) const;
   bool IsEligible(const EndpointState& aState) const;
   Candidate MakeCandidate(const EndpointState& aState,
--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -57,6 +57,10 @@
   /// heartbeat: endpoints rewrite their entries periodically to stay listed.
   bool IsNews(const EndpointChange& aChange) const;
 
+  /// @brief Returns and clears the changes by which endpoints began to leave or
+  /// were removed since the last call.
+  std::vector<EndpointChange> TakeDepartures();
+
   /// @brief Removes endpoints whose hold time after an outage has ended.
   void Tick(TimePoint aNow);
 
@@ -89,7 +93,10 @@
   bool RemoveMissing(const std::vector<EndpointChange>& aSnapshot,
                      std::uint64_t aVersion,
                      TimePoint aNow);
-  bool RemoveEndpoint(Entry& aEntry, std::uint64_t aVersion, TimePoint aNow);
+  bool RemoveEndpoint(const std::string& aId,
+                      Entry& aEntry,
+                      std::uint64_t aVersion,
+                      TimePoint aNow);
   void Rebuild();
 
   FleetViewOptions m_options;
@@ -98,7 +105,8 @@
   std::uint64_t m_version = 0;
   std::uint64_t m_revision = 0; ///< Local counter of endpoint changes.
   TimePoint m_asOf{};
-  TimePoint m_recoveredAt{}; ///< End of the store's last outage.
+  TimePoint m_recoveredAt{};                ///< End of the store's last outage.
+  std::vector<EndpointChange> m_departures; ///< Not taken yet.
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -133,6 +133,7 @@
     CheckRequests(aNow);
     for (const auto& entry : m_services.All()) {
       m_services.UpdateEjections(entry.first, aNow);
+      m_services.LogIdleEndpoints(entry.first, aNow);
       ServeQueue(entry.first, aNow);
     }
     m_metrics.Set(
@@ -1290,14 +1291,16 @@
     return LogFieldsOf(m_requests.at(aId));
   }
 
-  /// Log fields for the configuration version and the age of the fleet view.
+  /// Log fields for the configuration version and the state of the fleet view.
   LogFields ViewFields(TimePoint aNow) const
   {
     LogFields fields;
     fields.Add("config", m_control.Config()->version);
-    const auto age = m_control.ViewAge(aNow);
-    if (age) {
-      fields.Add("view_age_ms", *age);
+    const auto view = m_control.View(aNow);
+    if (view) {
+      fields.Add("view_version", view->version)
+        .Add("view_age_ms", view->age)
+        .Add("view_from", view->source);
     }
     return fields;
   }
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -15,6 +15,11 @@
 /// Interval between reports of failure evidence about a service.
 constexpr Milliseconds kEvidenceShareInterval{ 250 };
 
+/// Interval of the log lines on idle endpoints of a service, and the unserved
+/// share of its requests above which they are written.
+constexpr Milliseconds kIdleLogInterval{ 1000 };
+constexpr double kMinLoggedUnservedShare = 0.05;
+
 bool
 HasSafeRoute(const FleetConfig& aConfig, const std::string& aService)
 {
@@ -84,6 +89,37 @@
     QueueRegistry::Make(m_policies.queue, m_limits.queue_per_account);
 }
 
+void
+ServiceTable::LogIdleEndpoints(const std::string& aName, TimePoint aNow)
+{
+  ServiceEntry& service = m_services.at(aName);
+  if (aNow - service.last_idle_log < kIdleLogInterval) {
+    return;
+  }
+  const double unserved = m_control.Shortfall(aName, aNow);
+  if (unserved <= kMinLoggedUnservedShare) {
+    return;
+  }
+  service.last_idle_log = aNow;
+  std::map<std::string, std::uint64_t> countByReason;
+  std::string list;
+  const auto idle = service.state->IdleEndpoints(aNow);
+  for (const IdleEndpoint& endpoint : idle) {
+    ++countByReason[endpoint.reason];
+    list += (list.empty() ? "" : ",") + endpoint.endpoint;
+  }
+  LogFields fields;
+  fields.Add("service", aName)
+    .Add("unserved", unserved)
+    .Add("idle", std::uint64_t{ idle.size() });
+  for (const auto& [reason, count] : countByReason) {
+    fields.Add(reason.c_str(), count);
+  }
+  LogLine("health",
+          "Requests of the service are not served while endpoints are idle.",
+          fields.Add("idle_endpoints", list));
+}
+
 ServiceEntry*
 ServiceTable::Find(const std::string& aName)
 {
--- a/src/sapphirelane/proxy/service_book.h
+++ b/src/sapphirelane/proxy/service_book.h
@@ -24,6 +24,7 @@
   TimePoint last_safe_work{}; ///< When a resendable request was last placed.
   TimePoint last_ejection_update{};
   TimePoint last_evidence_share{};
+  TimePoint last_idle_log{};
 };
 
 /// @brief Services of the current configuration, by name.
@@ -48,6 +49,10 @@
   /// each at its own interval.
   void UpdateEjections(const std::string& aName, TimePoint aNow);
 
+  /// @brief Logs the idle endpoints of a service while many of its requests are
+  /// not served; at most once a second.
+  void LogIdleEndpoints(const std::string& aName, TimePoint aNow);
+
   std::map<std::string, ServiceEntry>& All() { return m_services; }
 
 private:
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -484,6 +484,43 @@
   }
 }
 
+std::vector<IdleEndpoint>
+ServiceState::IdleEndpoints(TimePoint aNow) const
+{
+  std::vector<IdleEndpoint> idle;
+  for (const auto& [id, state] : m_endpoints) {
+    const bool isIdle = aNow - state.last_used_at > kIdleAfter;
+    if (isIdle && state.endpoint.state == LifeState::InService) {
+      idle.push_back({ id, IdleReason(state, aNow) });
+    }
+  }
+  return idle;
+}
+
+/// The first condition that keeps requests from an idle endpoint; "not-drawn"
+/// if it is eligible.
+std::string
+ServiceState::IdleReason(const EndpointState& aState, TimePoint aNow) const
+{
+  if (aState.address_taken) {
+    return "address-taken";
+  }
+  if (m_ejector->IsEjected(aState.endpoint.id)) {
+    return "ejected";
+  }
+  if (!aState.in_subset) {
+    return "other-subset";
+  }
+  if (!m_receivesAllReports && IsInOtherDataCentre(aState)) {
+    return "other-data-centre";
+  }
+  if (FreeCapacity(aState) == 0) {
+    return aState.in_flight > 0 ? "full" : "full-by-others";
+  }
+  return aNow - aState.last_failed_at <= kRecentFailureTime ? "failed-lately"
+                                                            : "not-drawn";
+}
+
 std::vector<EjectionChange>
 ServiceState::Judge(TimePoint aNow)
 {
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <map>
 #include <set>
 
 namespace sapphirelane {
@@ -164,5 +165,35 @@
   CHECK(Send(4, request).count("new") == 1);
 }
 
+TEST_CASE_METHOD(ServiceStateFixture,
+                 "ServiceState, idle endpoints, names why each is passed over")
+{
+  Make(4, 1);
+  m_now += std::chrono::seconds(10);
+  m_state->NoteMoved("e100");
+  FleetEvidence evidence;
+  evidence.service = "s";
+  EndpointEvidence full;
+  full.endpoint = "e101";
+  full.in_flight = 5;
+  EndpointEvidence failed;
+  failed.endpoint = "e102";
+  failed.bad = 1;
+  evidence.endpoints = { full, failed };
+  m_state->ObserveFleet(evidence, m_now);
+  m_now += Milliseconds(1500);
+  std::map<std::string, std::string> reasons;
+  for (const IdleEndpoint& idle : m_state->IdleEndpoints(m_now)) {
+    reasons[idle.endpoint] = idle.reason;
+  }
+  CHECK(reasons ==
+        std::map<std::string, std::string>{ { "e100", "address-taken" },
+                                            { "e101", "full-by-others" },
+                                            { "e102", "failed-lately" },
+                                            { "e103", "not-drawn" } });
+  Send(1, {});
+  CHECK(m_state->IdleEndpoints(m_now).size() == 3);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -106,12 +106,15 @@
     return false;
   }
   if (!aChange.endpoint) {
-    return RemoveEndpoint(entry, aChange.version, aNow);
+    return RemoveEndpoint(aChange.id, entry, aChange.version, aNow);
   }
   entry.version = aChange.version;
   entry.remove_at.reset();
   const Endpoint& next = *aChange.endpoint;
   const bool same = entry.endpoint && HasSameRouting(*entry.endpoint, next);
+  if (!same && next.state == LifeState::Leaving) {
+    m_departures.push_back(aChange);
+  }
   entry.endpoint = next;
   return !same;
 }
@@ -120,9 +123,15 @@
 /// outage of the store it is held for a while, as the entry may have expired
 /// only because the endpoint could not renew it.
 bool
-FleetView::RemoveEndpoint(Entry& aEntry, std::uint64_t aVersion, TimePoint aNow)
+FleetView::RemoveEndpoint(const std::string& aId,
+                          Entry& aEntry,
+                          std::uint64_t aVersion,
+                          TimePoint aNow)
 {
   aEntry.version = aVersion;
+  if (aEntry.endpoint && !aEntry.remove_at) {
+    m_departures.push_back({ aId, aVersion, std::nullopt });
+  }
   const bool leaving =
     aEntry.endpoint && aEntry.endpoint->state == LifeState::Leaving;
   const bool recovering =
@@ -151,12 +160,18 @@
     const bool missing = present.count(id) == 0 && entry.endpoint &&
                          entry.version <= aVersion && !entry.remove_at;
     if (missing) {
-      changed = RemoveEndpoint(entry, aVersion, aNow) || changed;
+      changed = RemoveEndpoint(id, entry, aVersion, aNow) || changed;
     }
   }
   return changed;
 }
 
+std::vector<EndpointChange>
+FleetView::TakeDepartures()
+{
+  return std::exchange(m_departures, {});
+}
+
 void
 FleetView::Tick(TimePoint aNow)
 {
--- a/src/sapphirelane/relay/fleet_view_test.cpp
+++ b/src/sapphirelane/relay/fleet_view_test.cpp
@@ -154,5 +154,26 @@
   CHECK(m_view.Config()->endpoints.at("a").connections == 330);
 }
 
+TEST_CASE_METHOD(ViewFixture,
+                 "FleetView, endpoints leave or are removed, returns each "
+                 "departure once")
+{
+  Apply(0, 10, { Listed("a", 7), Listed("b", 8), Listed("c", 9) });
+  CHECK(m_view.TakeDepartures().empty());
+  Apply(
+    10,
+    13,
+    { Listed("a", 11, LifeState::Leaving), Removed("b", 12), Listed("c", 13) });
+  const auto departures = m_view.TakeDepartures();
+  REQUIRE(departures.size() == 2);
+  CHECK(departures[0].id == "a");
+  CHECK(departures[0].version == 11);
+  CHECK(departures[0].endpoint.has_value());
+  CHECK(departures[1].id == "b");
+  CHECK_FALSE(departures[1].endpoint.has_value());
+  Apply(13, 14, { Listed("a", 14, LifeState::Leaving) });
+  CHECK(m_view.TakeDepartures().empty());
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -77,9 +77,9 @@
   const FleetConfig* Config() const override { return m_view.Config(); }
   const KeyDirectory& Keys() const override { return m_keys; }
   bool IsFresh(TimePoint /*aNow*/) const override { return true; }
-  std::optional<Duration> ViewAge(TimePoint aNow) const override
+  std::optional<ViewState> View(TimePoint aNow) const override
   {
-    return m_view.Age(aNow);
+    return ViewState{ m_view.Version(), m_view.Age(aNow), m_replica.Source() };
   }
   std::pair<std::size_t, std::size_t> Rank() const override { return m_rank; }
   std::string DataCentre() const override { return m_options.self.data_centre; }
--- a/src/sapphirelane/relay/view_keeper.cpp
+++ b/src/sapphirelane/relay/view_keeper.cpp
@@ -52,6 +52,37 @@
 {
 }
 
+/// Applies changes of endpoints and logs those by which endpoints leave.
+/// @return False if there is a gap; see FleetView::TakeEndpoints.
+bool
+ViewReplica::ApplyEndpoints(std::uint64_t aBase,
+                            std::uint64_t aVersion,
+                            const std::vector<EndpointChange>& aChanges,
+                            Duration aAge,
+                            const std::string& aSource,
+                            TimePoint aNow)
+{
+  const Duration ageBefore = m_view.Age(aNow);
+  const bool contiguous =
+    m_view.TakeEndpoints(aBase, aVersion, aChanges, aAge, aNow);
+  if (m_view.Age(aNow) < ageBefore) {
+    m_source = aSource;
+  }
+  for (const EndpointChange& change : m_view.TakeDepartures()) {
+    LogLine("view",
+            change.endpoint ? "An endpoint leaves."
+                            : "An endpoint's entry is gone.",
+            LogFields()
+              .Add("endpoint", change.id)
+              .Add("entry_version", change.version)
+              .Add("view_version", m_view.Version())
+              .Add("age_ms", aAge)
+              .Add("contiguous", contiguous ? "yes" : "no")
+              .Add("from", aSource));
+  }
+  return contiguous;
+}
+
 /// The configuration as text, encoded once for each version.
 const std::string&
 ViewReplica::EncodedConfig(const FleetConfig& aConfig)
@@ -122,7 +153,7 @@
     batch.changes.end(),
     std::back_inserter(material),
     [this](const EndpointChange& aChange) { return m_view.IsNews(aChange); });
-  m_view.TakeEndpoints(base, batch.version, batch.changes, age, aNow);
+  ApplyEndpoints(base, batch.version, batch.changes, age, "store", aNow);
   m_readDuration = age;
   m_onChange(aNow, "store");
   // A full snapshot is not sent; daemons that lack any of it fetch it.
@@ -199,11 +230,12 @@
 {
   const auto changes = FromWire(aUpdate.changes);
   const bool contiguous =
-    m_view.TakeEndpoints(std::max<std::uint64_t>(1, aUpdate.base),
-                         aUpdate.version,
-                         changes,
-                         Milliseconds(aUpdate.age_ms),
-                         aNow);
+    ApplyEndpoints(std::max<std::uint64_t>(1, aUpdate.base),
+                   aUpdate.version,
+                   changes,
+                   Milliseconds(aUpdate.age_ms),
+                   aAddress,
+                   aNow);
   m_readDuration = Milliseconds(aUpdate.age_ms);
   m_onChange(aNow, "peer");
   if (aUpdate.spread) {
@@ -267,6 +299,7 @@
   }
   m_pendingFetch = ++m_lastCallId;
   m_fetchDeadline = aNow + kPeerFetchInterval;
+  m_fetchAddress = aAddress;
   BulkCall call;
   call.id = m_pendingFetch;
   call.address = aAddress;
@@ -286,11 +319,12 @@
               LogFields().Add("error", error.what()));
     }
   }
-  m_view.TakeEndpoints(0,
-                       aReply.version,
-                       FromWire(aReply.endpoints),
-                       Milliseconds(aReply.age_ms),
-                       aNow);
+  ApplyEndpoints(0,
+                 aReply.version,
+                 FromWire(aReply.endpoints),
+                 Milliseconds(aReply.age_ms),
+                 m_fetchAddress,
+                 aNow);
   m_onChange(aNow, "peer");
 }
 
--- a/src/sapphirelane/relay/view_keeper.h
+++ b/src/sapphirelane/relay/view_keeper.h
@@ -36,6 +36,9 @@
 
   const FleetView& View() const { return m_view; }
 
+  /// @brief "store", or the address of the daemon that last refreshed the view.
+  const std::string& Source() const { return m_source; }
+
   void Tick(TimePoint aNow);
 
   // Results of store calls.
@@ -54,6 +57,12 @@
   ViewReply AnswerFetch(const FetchView& aFetch, TimePoint aNow);
 
 private:
+  bool ApplyEndpoints(std::uint64_t aBase,
+                      std::uint64_t aVersion,
+                      const std::vector<EndpointChange>& aChanges,
+                      Duration aAge,
+                      const std::string& aSource,
+                      TimePoint aNow);
   const std::string& EncodedConfig(const FleetConfig& aConfig);
   void ReadStore(TimePoint aNow);
   void ReadConfig();
@@ -74,6 +83,7 @@
   std::vector<std::string> m_seeds;
   std::string m_dataCentre;
   FleetView m_view;
+  std::string m_source; ///< See Source.
   ReadPacer m_pacer;
   Duration m_readDuration{ 0 }; ///< Of the latest known read.
   bool m_readingConfig = false;
@@ -83,6 +93,7 @@
   TimePoint m_nextConfigRead{};
   std::uint64_t m_lastCallId = 0;
   std::uint64_t m_pendingFetch = 0; ///< Id of the call; 0 for none.
+  std::string m_fetchAddress;       ///< Of the daemon that is asked.
   TimePoint m_fetchDeadline{};
   TimePoint m_nextPeerFetch{};
   std::string m_encodedConfig; ///< Cache of EncodedConfig.
