Take over a view's age only if the view equals it

Cause: an update said how fresh its sender's view was and left out what was not new to the sender. A receiver that had missed what the sender heard from a third daemon took the age over and lacked the change until the endpoint's next write or a full read. The class is a part that is labelled as the whole. Other places of it, mended here as well: - the first of several datagrams of an update made the view as fresh as all; - an update was labelled with the version of the sender's view, which can be higher than that of the read whose changes it carried; so was an update after a full read; - the time that a datagram waited on the way, in a paused daemon's socket or in a fetch was not part of its age; - a view fetched from a daemon showed entries that this daemon only held after an outage as current, and the fetching daemon never removed them; - ages were rounded down; an update's age always counted as the duration of a read. Looked at and found sound: the sums of LoadExchange are absolute since the start of a daemon; PeerTable's liveness is from own receipt.

Evidence: new tests in virtual time.

Why it works: an update carries version, age and digest of the sender's view, and the changes of the last second. A receiver applies the changes, and takes version and age over only if its own digest is the same or its version is higher already.

Daemons of older builds do not read the new form of the update, nor these theirs; each build reads the store for itself while both run.

--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -39,23 +39,44 @@
   /// @return True if it was applied.
   bool TakeConfig(FleetConfig aConfig);
 
-  /// @brief Applies changes of endpoints.
-  /// @param aBase Store version that the changes are relative to; 0 if they are
-  /// a full snapshot.
+  /// @brief Applies endpoints read from the store or fetched from a peer.
+  /// @param aBase Store version that the changes follow on; 0 if they are a
+  /// full snapshot.
   /// @param aVersion Store version after the changes.
   /// @param aAge Time since the store was read.
   /// @return False if there is a gap: changes before aBase are missing here.
   /// The changes are applied nevertheless, but neither the version nor the age
-  /// of the view advances.
+  /// of the view advances. Changes of an older state than the view's are not
+  /// applied.
   bool TakeEndpoints(std::uint64_t aBase,
                      std::uint64_t aVersion,
                      const std::vector<EndpointChange>& aChanges,
                      Duration aAge,
                      TimePoint aNow);
 
-  /// @brief Returns true if a change affects routing, as opposed to a mere
-  /// heartbeat: endpoints rewrite their entries periodically to stay listed.
-  bool IsNews(const EndpointChange& aChange) const;
+  /// @brief Applies some changes of another daemon's view.
+  ///
+  /// Messages can be lost, late or only a part of an update, so the version and
+  /// age of that view are taken over only if this view then equals it, or is
+  /// newer.
+  /// @param aVersion Version of that view.
+  /// @param aDigest Digest of that view.
+  /// @param aAge Age of that view.
+  /// @return False if this view still lacks changes.
+  bool TakeUpdate(std::uint64_t aVersion,
+                  std::uint64_t aDigest,
+                  const std::vector<EndpointChange>& aChanges,
+                  Duration aAge,
+                  TimePoint aNow);
+
+  /// @brief Changes of routing that were applied at a time or later, as opposed
+  /// to mere heartbeats: endpoints rewrite their entries periodically to stay
+  /// listed.
+  std::vector<EndpointChange> ChangesSince(TimePoint aTime) const;
+
+  /// @brief Hash of what the entries say about routing, regardless of their
+  /// versions. Equal for daemons that know the same state of the store.
+  std::uint64_t Digest() const { return m_digest; }
 
   /// @brief Returns and clears the changes by which endpoints began to leave or
   /// were removed since the last call.
@@ -86,10 +107,23 @@
     std::optional<Endpoint> endpoint;
     /// Set if the entry was removed but is still in use until then.
     std::optional<TimePoint> remove_at;
+    TimePoint changed_at{};   ///< When its routing last changed here.
+    std::uint64_t digest = 0; ///< Its part of m_digest.
+
+    /// The entry in the store.
+    std::optional<Endpoint> Stored() const
+    {
+      return remove_at ? std::nullopt : endpoint;
+    }
   };
 
-  void RecordRefresh(TimePoint aAsOf, TimePoint aNow);
+  void RecordContact(TimePoint aAsOf, TimePoint aNow);
+  bool ApplyChanges(const std::vector<EndpointChange>& aChanges,
+                    TimePoint aNow);
   bool ApplyChange(const EndpointChange& aChange, TimePoint aNow);
+  void UpdateDigest(const std::string& aId, Entry& aEntry, TimePoint aNow);
+  EndpointChange ChangeOf(const std::string& aId, const Entry& aEntry) const;
+  void Refresh(std::uint64_t aVersion, TimePoint aAsOf);
   bool RemoveMissing(const std::vector<EndpointChange>& aSnapshot,
                      std::uint64_t aVersion,
                      TimePoint aNow);
@@ -104,7 +138,9 @@
   std::map<std::string, Entry> m_entries;
   std::uint64_t m_version = 0;
   std::uint64_t m_revision = 0; ///< Local counter of endpoint changes.
+  std::uint64_t m_digest = 0;   ///< See Digest.
   TimePoint m_asOf{};
+  TimePoint m_contactAt{}; ///< Latest time at which any daemon read the store.
   TimePoint m_recoveredAt{};                ///< End of the store's last outage.
   std::vector<EndpointChange> m_departures; ///< Not taken yet.
 };
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -500,22 +500,33 @@
   }
 };
 
-/// @brief What a daemon has read of the store.
+/// @brief Part of an update of a daemon's view of the store.
 struct ViewNews
 {
   bool spread = false;       ///< The receiver sends it on in its data centre.
-  std::uint32_t age_ms = 0;  ///< Since the store was asked.
-  std::uint64_t base = 0;    ///< The changes follow on this version.
-  std::uint64_t version = 0; ///< Of the endpoints, with the changes.
-  std::vector<WireEndpoint> changes;
-  std::uint64_t config_version = 0; ///< The newest that the sender knows of.
-  std::uint64_t held_config = 0;    ///< The newest that it holds.
+  NodeId origin = 0;         ///< The daemon whose view it describes.
+  std::uint64_t sent_ms = 0; ///< Uptime of the origin when it was sent.
+  std::uint32_t age_ms = 0;  ///< Of the origin's view at that time.
+  std::uint64_t version = 0; ///< Of the origin's view.
+  std::uint64_t digest = 0;  ///< Of the origin's view, see FleetView::Digest.
+  bool last = true;          ///< No further part of the update follows.
+  std::vector<WireEndpoint> changes; ///< Recent ones.
+  std::uint64_t config_version = 0;  ///< The newest that the sender knows of.
+  std::uint64_t held_config = 0;     ///< The newest that it holds.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(
-      spread, age_ms, base, version, changes, config_version, held_config);
+    aArchive(spread,
+             origin,
+             sent_ms,
+             age_ms,
+             version,
+             digest,
+             last,
+             changes,
+             config_version,
+             held_config);
   }
 };
 
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -1,9 +1,12 @@
 #include "sapphirelane/relay/fleet_view.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
+#include "sapphirelane/base/hash.h"
+
 namespace sapphirelane {
 
 namespace {
@@ -21,6 +24,26 @@
          aOne.lifetime == aOther.lifetime && isCold(aOne) == isCold(aOther);
 }
 
+/// Hash of an endpoint's id and the fields that HasSameRouting compares.
+std::uint64_t
+RoutingHash(const std::string& aId, const Endpoint& aEndpoint)
+{
+  const bool isLeaving = aEndpoint.state == LifeState::Leaving;
+  const bool isCold = aEndpoint.cold > Milliseconds::zero();
+  std::string text;
+  for (const std::string& field : { aId,
+                                    aEndpoint.service,
+                                    aEndpoint.address,
+                                    aEndpoint.data_centre,
+                                    std::to_string(aEndpoint.slots),
+                                    std::to_string(aEndpoint.lifetime) }) {
+    text += field + '\n';
+  }
+  text += isLeaving ? 'l' : 's';
+  text += isCold ? 'c' : 'w';
+  return StableHash(text);
+}
+
 } // namespace
 
 FleetView::FleetView(FleetViewOptions aOptions)
@@ -46,19 +69,17 @@
                          Duration aAge,
                          TimePoint aNow)
 {
-  const bool contiguous = aBase <= m_version;
-  if (contiguous) {
-    RecordRefresh(aNow - aAge, aNow);
-  }
+  RecordContact(aNow - aAge, aNow);
   bool changed = false;
-  for (const EndpointChange& change : aChanges) {
-    changed = ApplyChange(change, aNow) || changed;
-  }
-  if (aBase == 0 && aVersion >= m_version) {
-    changed = RemoveMissing(aChanges, aVersion, aNow) || changed;
+  if (aVersion >= m_version) {
+    changed = ApplyChanges(aChanges, aNow);
+    if (aBase == 0) {
+      changed = RemoveMissing(aChanges, aVersion, aNow) || changed;
+    }
   }
+  const bool contiguous = aBase <= m_version;
   if (contiguous) {
-    m_version = std::max(m_version, aVersion);
+    Refresh(aVersion, aNow - aAge);
   }
   if (changed) {
     ++m_revision;
@@ -67,35 +88,102 @@
   return contiguous;
 }
 
+bool
+FleetView::TakeUpdate(std::uint64_t aVersion,
+                      std::uint64_t aDigest,
+                      const std::vector<EndpointChange>& aChanges,
+                      Duration aAge,
+                      TimePoint aNow)
+{
+  RecordContact(aNow - aAge, aNow);
+  // A complete view holds what followed on older changes, even if the versions
+  // of its entries are lower.
+  std::vector<EndpointChange> newer;
+  std::copy_if(aChanges.begin(),
+               aChanges.end(),
+               std::back_inserter(newer),
+               [this](const EndpointChange& aChange) {
+                 return aChange.version > m_version;
+               });
+  if (ApplyChanges(newer, aNow)) {
+    ++m_revision;
+    Rebuild();
+  }
+  // Reads of the store are linearizable, so a view of a higher version holds
+  // every change that was made before another view's read.
+  const bool complete = aVersion <= m_version || aDigest == m_digest;
+  if (complete) {
+    Refresh(aVersion, aNow - aAge);
+  }
+  return complete;
+}
+
+void
+FleetView::Refresh(std::uint64_t aVersion, TimePoint aAsOf)
+{
+  m_version = std::max(m_version, aVersion);
+  m_asOf = std::max(m_asOf, aAsOf);
+}
+
+/// Notes that a daemon has read the store, to find out when an outage ended.
+/// That holds even if its message does not complete this view.
 void
-FleetView::RecordRefresh(TimePoint aAsOf, TimePoint aNow)
+FleetView::RecordContact(TimePoint aAsOf, TimePoint aNow)
 {
-  if (aAsOf <= m_asOf) {
+  if (aAsOf <= m_contactAt) {
     return;
   }
-  const bool initialized = m_asOf != TimePoint{};
-  if (initialized && aNow - m_asOf > m_options.outage_after) {
+  const bool initialized = m_contactAt != TimePoint{};
+  if (initialized && aNow - m_contactAt > m_options.outage_after) {
     m_recoveredAt = aNow;
   }
-  m_asOf = aAsOf;
+  m_contactAt = aAsOf;
 }
 
 bool
-FleetView::IsNews(const EndpointChange& aChange) const
+FleetView::ApplyChanges(const std::vector<EndpointChange>& aChanges,
+                        TimePoint aNow)
 {
-  auto found = m_entries.find(aChange.id);
-  if (found == m_entries.end()) {
-    return aChange.endpoint.has_value();
+  bool changed = false;
+  for (const EndpointChange& change : aChanges) {
+    changed = ApplyChange(change, aNow) || changed;
   }
-  const Entry& entry = found->second;
-  if (aChange.version <= entry.version) {
-    return false;
+  return changed;
+}
+
+/// Adapts the digest to an entry that has changed.
+void
+FleetView::UpdateDigest(const std::string& aId, Entry& aEntry, TimePoint aNow)
+{
+  const std::optional<Endpoint> stored = aEntry.Stored();
+  const std::uint64_t digest = stored ? RoutingHash(aId, *stored) : 0;
+  if (digest == aEntry.digest) {
+    return;
   }
-  const bool listed = entry.endpoint && !entry.remove_at;
-  if (!listed || !aChange.endpoint) {
-    return listed || aChange.endpoint.has_value();
+  m_digest += digest - aEntry.digest;
+  aEntry.digest = digest;
+  // A first snapshot is news to nobody.
+  aEntry.changed_at = m_version > 0 ? aNow : TimePoint{};
+}
+
+/// An entry for another daemon. Its state is known to be current at the view's
+/// version, even if later heartbeats of it were not received.
+EndpointChange
+FleetView::ChangeOf(const std::string& aId, const Entry& aEntry) const
+{
+  return { aId, std::max(aEntry.version, m_version), aEntry.Stored() };
+}
+
+std::vector<EndpointChange>
+FleetView::ChangesSince(TimePoint aTime) const
+{
+  std::vector<EndpointChange> changes;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.changed_at != TimePoint{} && entry.changed_at >= aTime) {
+      changes.push_back(ChangeOf(id, entry));
+    }
   }
-  return !HasSameRouting(*entry.endpoint, *aChange.endpoint);
+  return changes;
 }
 
 bool
@@ -116,6 +204,7 @@
     m_departures.push_back(aChange);
   }
   entry.endpoint = next;
+  UpdateDigest(aChange.id, entry, aNow);
   return !same;
 }
 
@@ -138,11 +227,13 @@
     m_recoveredAt != TimePoint{} && aNow - m_recoveredAt < m_options.hold_gone;
   if (aEntry.endpoint && recovering && !leaving) {
     aEntry.remove_at = m_recoveredAt + m_options.hold_gone;
+    UpdateDigest(aId, aEntry, aNow);
     return false;
   }
   const bool changed = aEntry.endpoint.has_value();
   aEntry.endpoint.reset();
   aEntry.remove_at.reset();
+  UpdateDigest(aId, aEntry, aNow);
   return changed;
 }
 
@@ -233,7 +324,7 @@
 {
   std::vector<EndpointChange> changes;
   for (const auto& [id, entry] : m_entries) {
-    changes.push_back({ id, entry.version, entry.endpoint });
+    changes.push_back(ChangeOf(id, entry));
   }
   return changes;
 }
--- a/src/sapphirelane/relay/fleet_view_test.cpp
+++ b/src/sapphirelane/relay/fleet_view_test.cpp
@@ -175,5 +175,57 @@
   CHECK(m_view.TakeDepartures().empty());
 }
 
+TEST_CASE_METHOD(ViewFixture,
+                 "FleetView, update with a change missing, takes over neither "
+                 "version nor age")
+{
+  Apply(0, 10, { Listed("a", 7), Listed("b", 8) });
+  FleetView sender({});
+  sender.TakeEndpoints(0,
+                       12,
+                       { Listed("a", 11, LifeState::Leaving),
+                         Listed("b", 12, LifeState::Leaving) },
+                       Duration(0),
+                       m_now);
+  m_now += Milliseconds(900);
+  const auto take = [&](const std::vector<EndpointChange>& aChanges) {
+    return m_view.TakeUpdate(
+      12, sender.Digest(), aChanges, Milliseconds(4), m_now);
+  };
+  CHECK_FALSE(take({}));
+  CHECK_FALSE(take({ Listed("a", 11, LifeState::Leaving) }));
+  CHECK(m_view.Version() == 10);
+  CHECK(m_view.Age(m_now) == Milliseconds(900));
+  CHECK(take({ Listed("b", 12, LifeState::Leaving) }));
+  CHECK(m_view.Version() == 12);
+  CHECK(m_view.Age(m_now) == Milliseconds(4));
+}
+
+TEST_CASE_METHOD(ViewFixture,
+                 "FleetView, update lacks only heartbeats, is complete")
+{
+  Apply(0, 10, { Listed("a", 7) });
+  FleetView sender({});
+  sender.TakeEndpoints(0, 12, { Listed("a", 12) }, Duration(0), m_now);
+  CHECK(m_view.TakeUpdate(12, sender.Digest(), {}, Duration(0), m_now));
+  CHECK(m_view.Version() == 12);
+}
+
+TEST_CASE_METHOD(ViewFixture,
+                 "FleetView, endpoint held after an outage, is sent as removed")
+{
+  Apply(0, 10, { Listed("a", 7), Listed("b", 8) });
+  m_now += std::chrono::seconds(10);
+  Apply(10, 12, { Removed("a", 11) });
+  REQUIRE(Has("a"));
+  FleetView fetcher({});
+  FleetConfig config;
+  config.version = 1;
+  fetcher.TakeConfig(config);
+  fetcher.TakeEndpoints(0, 12, m_view.Endpoints(), Duration(0), m_now);
+  CHECK(fetcher.Config()->endpoints.count("a") == 0);
+  CHECK(fetcher.Config()->endpoints.count("b") == 1);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -182,7 +182,6 @@
 
   void Tick(TimePoint aNow) override
   {
-    m_startedAt = m_startedAt == TimePoint{} ? aNow : m_startedAt;
     m_peers.Tick(aNow);
     Announce(aNow);
     m_replica.Tick(aNow);
@@ -358,7 +357,7 @@
     update.self = m_options.self;
     update.started_ms = m_options.started_ms;
     update.uptime_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(
-      ToMilliseconds(aNow - m_startedAt).count(), kMaxReportedUptimeMs));
+      m_replica.Uptime(aNow).count(), kMaxReportedUptimeMs));
     update.leaving = m_leaving;
     update.neighbours = m_peers.NeighbourHashes(aNow);
     return update;
@@ -375,6 +374,10 @@
               const PresenceNews& aUpdate,
               TimePoint aNow)
   {
+    if (aUpdate.uptime_ms < kMaxReportedUptimeMs) {
+      m_replica.RecordDelay(
+        aUpdate.self.id, Milliseconds(aUpdate.uptime_ms), aNow);
+    }
     const bool isNew = m_peers.OnPresence(aUpdate, aNow);
     if (isNew) {
       LogLine("peers",
@@ -444,7 +447,6 @@
   std::vector<ControlEvent> m_events;
   std::map<AskId, std::string> m_spentTokens; ///< Account by token.
   AskId m_lastAsk = 0;
-  TimePoint m_startedAt{}; ///< Time of the first tick.
   TimePoint m_nextAnnounce{};
   TimePoint m_nextPresence{};
   std::uint64_t m_loadedVersion = 0;
--- a/src/sapphirelane/relay/view_keeper.cpp
+++ b/src/sapphirelane/relay/view_keeper.cpp
@@ -32,6 +32,20 @@
 /// Upper limit of changes in one datagram.
 constexpr std::ptrdiff_t kMaxChangesPerUpdate = 24;
 
+/// Time for which updates repeat a change. It spans at least two reads of the
+/// store, so that a lost datagram seldom makes a daemon fetch the whole view.
+constexpr Milliseconds kChangeRepeatTime{ 1000 };
+
+/// Age in milliseconds, rounded up so that no receiver takes it for less.
+std::uint32_t
+AgeOnWire(Duration aAge)
+{
+  constexpr Milliseconds kMaxAge = std::chrono::hours(24);
+  const Duration bounded = std::min<Duration>(aAge, kMaxAge);
+  return static_cast<std::uint32_t>(
+    std::chrono::ceil<Milliseconds>(bounded).count());
+}
+
 } // namespace
 
 ViewReplica::ViewReplica(const StoreFleetOptions& aOptions,
@@ -48,13 +62,13 @@
   , m_seeds(aOptions.seeds)
   , m_dataCentre(aOptions.self.data_centre)
   , m_view(aOptions.view)
+  , m_self(aOptions.self.id)
   , m_pacer(aOptions.pacer)
 {
 }
 
-/// Applies changes of endpoints and logs those by which endpoints leave.
-/// @return False if there is a gap; see FleetView::TakeEndpoints.
-bool
+/// Applies endpoints that were read from the store or fetched from a peer.
+void
 ViewReplica::ApplyEndpoints(std::uint64_t aBase,
                             std::uint64_t aVersion,
                             const std::vector<EndpointChange>& aChanges,
@@ -63,11 +77,25 @@
                             TimePoint aNow)
 {
   const Duration ageBefore = m_view.Age(aNow);
-  const bool contiguous =
-    m_view.TakeEndpoints(aBase, aVersion, aChanges, aAge, aNow);
-  if (m_view.Age(aNow) < ageBefore) {
+  m_view.TakeEndpoints(aBase, aVersion, aChanges, aAge, aNow);
+  RecordSource(aSource, ageBefore, aNow);
+  LogDepartures(aSource, aNow);
+}
+
+/// Records who refreshed the view, if it is fresher than before.
+void
+ViewReplica::RecordSource(const std::string& aSource,
+                          Duration aAgeBefore,
+                          TimePoint aNow)
+{
+  if (m_view.Age(aNow) < aAgeBefore) {
     m_source = aSource;
   }
+}
+
+void
+ViewReplica::LogDepartures(const std::string& aSource, TimePoint aNow)
+{
   for (const EndpointChange& change : m_view.TakeDepartures()) {
     LogLine("view",
             change.endpoint ? "An endpoint leaves."
@@ -76,11 +104,22 @@
               .Add("endpoint", change.id)
               .Add("entry_version", change.version)
               .Add("view_version", m_view.Version())
-              .Add("age_ms", aAge)
-              .Add("contiguous", contiguous ? "yes" : "no")
+              .Add("view_age_ms", m_view.Age(aNow))
               .Add("from", aSource));
   }
-  return contiguous;
+}
+
+Milliseconds
+ViewReplica::Uptime(TimePoint aNow) const
+{
+  return m_startedAt == TimePoint{} ? Milliseconds(0)
+                                    : ToMilliseconds(aNow - m_startedAt);
+}
+
+Duration
+ViewReplica::RecordDelay(NodeId aSender, Milliseconds aUptime, TimePoint aNow)
+{
+  return m_delays.Record(aSender, aUptime, aNow);
 }
 
 /// The configuration as text, encoded once for each version.
@@ -99,7 +138,9 @@
 void
 ViewReplica::Tick(TimePoint aNow)
 {
+  m_startedAt = m_startedAt == TimePoint{} ? aNow : m_startedAt;
   m_view.Tick(aNow);
+  m_delays.Tick(aNow);
   ReadStore(aNow);
   FetchFromPeerIfStale(aNow);
 }
@@ -147,20 +188,10 @@
   const EndpointBatch& batch = aResult.endpoints;
   const std::uint64_t base = batch.whole ? 0 : aResult.after;
   const Duration age = aNow - aResult.asked;
-  std::vector<EndpointChange> material;
-  std::copy_if(
-    batch.changes.begin(),
-    batch.changes.end(),
-    std::back_inserter(material),
-    [this](const EndpointChange& aChange) { return m_view.IsNews(aChange); });
   ApplyEndpoints(base, batch.version, batch.changes, age, "store", aNow);
   m_readDuration = age;
   m_onChange(aNow, "store");
-  // A full snapshot is not sent; daemons that lack any of it fetch it.
-  SendUpdate(batch.whole ? batch.version : aResult.after,
-             batch.whole ? std::vector<EndpointChange>() : material,
-             age,
-             aNow);
+  SendUpdate(aNow);
 }
 
 void
@@ -183,44 +214,34 @@
   m_configCursor = std::max(m_configCursor, aResult.config.version);
   if (aResult.config.config && m_view.TakeConfig(*aResult.config.config)) {
     m_onChange(aNow, "store");
-    SendUpdate(m_view.Version(), {}, m_view.Age(aNow), aNow);
+    SendUpdate(aNow);
   }
 }
 
+/// Sends the state of this view and its recent changes to the other daemons.
+/// These verify by the digest that they lack nothing.
 void
-ViewReplica::SendUpdate(std::uint64_t aBase,
-                        std::vector<EndpointChange> aChanges,
-                        Duration aAge,
-                        TimePoint aNow)
+ViewReplica::SendUpdate(TimePoint aNow)
 {
-  std::sort(aChanges.begin(),
-            aChanges.end(),
-            [](const EndpointChange& aOne, const EndpointChange& aOther) {
-              return aOne.version < aOther.version;
-            });
+  const auto changes = m_view.ChangesSince(aNow - kChangeRepeatTime);
   ViewNews update;
-  update.age_ms = static_cast<std::uint32_t>(ToMilliseconds(aAge).count());
+  update.origin = m_self;
+  update.sent_ms = static_cast<std::uint64_t>(Uptime(aNow).count());
+  update.age_ms = AgeOnWire(m_view.Age(aNow));
+  update.version = m_view.Version();
+  update.digest = m_view.Digest();
   update.held_config = m_view.ConfigVersion();
   update.config_version = std::max(m_newestConfigVersion, update.held_config);
-  update.base = aBase;
   // All messages go through the same relays to preserve their order.
   const auto relays = m_sender.PickRelays(kRelaysPerCentre, aNow);
-  // The base of each message is the version of the one before it, so that a
-  // receiver detects a lost message as a gap.
-  auto first = aChanges.begin();
-  while (aChanges.end() - first > kMaxChangesPerUpdate) {
-    const std::vector<EndpointChange> chunk(first,
-                                            first + kMaxChangesPerUpdate);
-    update.changes = ToWire(chunk);
-    update.version = chunk.back().version;
+  auto first = changes.begin();
+  do {
+    const auto size = std::min(kMaxChangesPerUpdate, changes.end() - first);
+    update.changes = ToWire(std::vector<EndpointChange>(first, first + size));
+    first += size;
+    update.last = first == changes.end();
     m_sender.SendToAll(update, relays, aNow);
-    update.base = update.version;
-    first += kMaxChangesPerUpdate;
-  }
-  const std::vector<EndpointChange> rest(first, aChanges.end());
-  update.changes = ToWire(rest);
-  update.version = m_view.Version();
-  m_sender.SendToAll(update, relays, aNow);
+  } while (first != changes.end());
 }
 
 void
@@ -228,15 +249,21 @@
                       const ViewNews& aUpdate,
                       TimePoint aNow)
 {
-  const auto changes = FromWire(aUpdate.changes);
-  const bool contiguous =
-    ApplyEndpoints(std::max<std::uint64_t>(1, aUpdate.base),
-                   aUpdate.version,
-                   changes,
-                   Milliseconds(aUpdate.age_ms),
-                   aAddress,
-                   aNow);
-  m_readDuration = Milliseconds(aUpdate.age_ms);
+  const Duration delay =
+    RecordDelay(aUpdate.origin,
+                Milliseconds(static_cast<std::int64_t>(aUpdate.sent_ms)),
+                aNow);
+  const Duration ageBefore = m_view.Age(aNow);
+  const bool complete = m_view.TakeUpdate(aUpdate.version,
+                                          aUpdate.digest,
+                                          FromWire(aUpdate.changes),
+                                          Milliseconds(aUpdate.age_ms) + delay,
+                                          aNow);
+  if (m_view.Age(aNow) < ageBefore) {
+    m_readDuration = Milliseconds(aUpdate.age_ms);
+  }
+  RecordSource(aAddress, ageBefore, aNow);
+  LogDepartures(aAddress, aNow);
   m_onChange(aNow, "peer");
   if (aUpdate.spread) {
     ViewNews forwarded = aUpdate;
@@ -246,7 +273,8 @@
   const bool isLocal = m_peers.DataCentreAt(aAddress) == m_dataCentre;
   RecordNewerConfig(aUpdate.config_version, isLocal, aNow);
   const bool senderHasNewer = aUpdate.held_config > m_view.ConfigVersion();
-  if (isLocal && (senderHasNewer || !contiguous)) {
+  const bool lacksChanges = !complete && aUpdate.last;
+  if (isLocal && (senderHasNewer || lacksChanges)) {
     FetchFrom(aAddress, aNow);
   }
 }
@@ -300,6 +328,7 @@
   m_pendingFetch = ++m_lastCallId;
   m_fetchDeadline = aNow + kPeerFetchInterval;
   m_fetchAddress = aAddress;
+  m_fetchStarted = aNow;
   BulkCall call;
   call.id = m_pendingFetch;
   call.address = aAddress;
@@ -322,7 +351,7 @@
   ApplyEndpoints(0,
                  aReply.version,
                  FromWire(aReply.endpoints),
-                 Milliseconds(aReply.age_ms),
+                 Milliseconds(aReply.age_ms) + (aNow - m_fetchStarted),
                  m_fetchAddress,
                  aNow);
   m_onChange(aNow, "peer");
@@ -352,8 +381,7 @@
     return reply;
   }
   reply.known = true;
-  reply.age_ms =
-    static_cast<std::uint32_t>(ToMilliseconds(m_view.Age(aNow)).count());
+  reply.age_ms = AgeOnWire(m_view.Age(aNow));
   reply.version = m_view.Version();
   reply.endpoints = ToWire(m_view.Endpoints());
   if (config->version > aFetch.config_version) {
--- a/src/sapphirelane/relay/view_keeper.h
+++ b/src/sapphirelane/relay/view_keeper.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "sapphirelane/relay/delay_estimator.h"
 #include "sapphirelane/relay/fleet_view.h"
 #include "sapphirelane/relay/peer_book.h"
 #include "sapphirelane/relay/read_pacer.h"
@@ -36,6 +37,12 @@
 
   const FleetView& View() const { return m_view; }
 
+  /// @brief Time since the first tick.
+  Milliseconds Uptime(TimePoint aNow) const;
+
+  /// @brief Records a message with its sender's uptime; see DelayEstimator.
+  Duration RecordDelay(NodeId aSender, Milliseconds aUptime, TimePoint aNow);
+
   /// @brief "store", or the address of the daemon that last refreshed the view.
   const std::string& Source() const { return m_source; }
 
@@ -57,19 +64,20 @@
   ViewReply AnswerFetch(const FetchView& aFetch, TimePoint aNow);
 
 private:
-  bool ApplyEndpoints(std::uint64_t aBase,
+  void ApplyEndpoints(std::uint64_t aBase,
                       std::uint64_t aVersion,
                       const std::vector<EndpointChange>& aChanges,
                       Duration aAge,
                       const std::string& aSource,
                       TimePoint aNow);
+  void RecordSource(const std::string& aSource,
+                    Duration aAgeBefore,
+                    TimePoint aNow);
+  void LogDepartures(const std::string& aSource, TimePoint aNow);
   const std::string& EncodedConfig(const FleetConfig& aConfig);
   void ReadStore(TimePoint aNow);
   void ReadConfig();
-  void SendUpdate(std::uint64_t aBase,
-                  std::vector<EndpointChange> aChanges,
-                  Duration aAge,
-                  TimePoint aNow);
+  void SendUpdate(TimePoint aNow);
   void RecordNewerConfig(std::uint64_t aVersion, bool aIsLocal, TimePoint aNow);
   void FetchFromPeerIfStale(TimePoint aNow);
   void FetchFrom(const std::string& aAddress, TimePoint aNow);
@@ -84,6 +92,9 @@
   std::string m_dataCentre;
   FleetView m_view;
   std::string m_source; ///< See Source.
+  DelayEstimator m_delays;
+  NodeId m_self;
+  TimePoint m_startedAt{}; ///< Time of the first tick.
   ReadPacer m_pacer;
   Duration m_readDuration{ 0 }; ///< Of the latest known read.
   bool m_readingConfig = false;
@@ -94,6 +105,7 @@
   std::uint64_t m_lastCallId = 0;
   std::uint64_t m_pendingFetch = 0; ///< Id of the call; 0 for none.
   std::string m_fetchAddress;       ///< Of the daemon that is asked.
+  TimePoint m_fetchStarted{};
   TimePoint m_fetchDeadline{};
   TimePoint m_nextPeerFetch{};
   std::string m_encodedConfig; ///< Cache of EncodedConfig.
