Do not count the wait in an endpoint's queue as a stall

Cause: a request stalls after a time derived from the service's mean latency, whatever waits before it at its endpoint. When a fleet starts, or after a burst, requests gather 3 to 7 deep at endpoints of 2 slots; the last ones stall although the endpoint serves one after the other. Each stall counts as a failure on all daemons, which then avoid the endpoint and, for 3 s, leave it out of those that must not idle. What comes next goes to endpoints that fail fast. The class is an effect of this fleet's own load that is taken for a fault of the endpoint.

Why it works: the time allowed grows by the mean latency for each turn of the slots that is ahead when the request is placed. The queue is known from the load reports.

--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -34,7 +34,9 @@
   std::string endpoint;
   std::string address;
   bool trial = false; ///< The attempt tests an ejected endpoint.
-  LogFields inputs;   ///< Inputs of the choice, for the log.
+  /// Requests ahead of the attempt in the endpoint's queue, per slot.
+  double queued_turns = 0;
+  LogFields inputs; ///< Inputs of the choice, for the log.
 };
 
 /// @brief An endpoint in service without requests, and why.
@@ -76,6 +78,11 @@
   /// other data centres.
   void SetHearsAllWork(bool aHears) { m_receivesAllReports = aHears; }
 
+  /// @brief Decides whether a request may probe idle endpoints.
+  /// @param aUnserved Share of the service's recent requests that the fleet did
+  /// not serve.
+  void SetExploration(PlaceRequest& aRequest, double aUnserved, TimePoint aNow);
+
   /// @brief Chooses an eligible endpoint with free capacity, or one to test.
   /// @return The placement, or nothing if no endpoint has capacity.
   std::optional<Placement> Place(const PlaceRequest& aRequest,
@@ -125,7 +132,9 @@
   std::optional<FleetEvidence> TakeEvidence(TimePoint aNow);
 
   /// @brief Time without a response after which an attempt counts as stalled.
-  Duration StallAfter(TimePoint aNow) const;
+  /// @param aQueuedTurns Of the attempt's placement. A request that waits in
+  /// the queue of a healthy endpoint has not stalled.
+  Duration StallAfter(double aQueuedTurns, TimePoint aNow) const;
 
   /// @brief Time without a response after which an attempt may be hedged.
   Duration HedgeAfter() const;
@@ -189,7 +198,8 @@
   std::string m_service;
   std::uint32_t m_minHealthyPercent = 0;
   bool m_receivesAllReports = true;
-  Duration m_meanLatency{ 0 }; ///< Over the endpoints, at the last placement.
+  TimePoint m_lastRepeatable{}; ///< When a repeatable request was last placed.
+  Duration m_meanLatency{ 0 };  ///< Over the endpoints, at the last placement.
   std::map<std::string, EndpointState> m_endpoints;
   bool m_hasBadEvidence = false;
 };
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -45,15 +45,6 @@
 /// enough for other daemons to avoid it for the length of a fault episode.
 constexpr std::uint32_t kMisdirectedFailureCount = 3;
 
-/// Share of unserved requests of a service above which idle endpoints get
-/// requests. Slightly below 0.1, the share from which the minimum healthy
-/// capacity is enforced.
-constexpr double kMaxUnservedShare = 0.09;
-
-/// Time without resendable requests after which other requests of the service
-/// may probe idle endpoints too, whatever its routes allow.
-constexpr Milliseconds kSafeWorkWindow{ 3000 };
-
 constexpr int kMinSuccessStatus = 200;
 constexpr int kMinRedirectStatus = 300;
 
@@ -570,16 +561,8 @@
     place.target = aRequest.route.target;
     place.left = aRequest.deadline - aNow;
     place.avoid = aRequest.tried_endpoints;
-    if (safe) {
-      service.last_safe_work = aNow;
-    }
-    // Resendable requests are preferred to probe idle endpoints.
-    const bool suitsExploration =
-      safe || aNow - service.last_safe_work > kSafeWorkWindow;
-    place.explores = suitsExploration;
-    place.spread =
-      suitsExploration &&
-      m_control.Shortfall(aRequest.service, aNow) > kMaxUnservedShare;
+    service.state->SetExploration(
+      place, m_control.Shortfall(aRequest.service, aNow), aNow);
     const auto placed = service.state->Place(place, aNow, m_random);
     if (!placed) {
       return false;
@@ -589,6 +572,7 @@
     attempt.endpoint = placed->endpoint;
     attempt.started = aNow;
     attempt.trial = placed->trial;
+    attempt.queued_turns = placed->queued_turns;
     service.state->Begin(placed->endpoint, aNow);
     aRequest.attempts.push_back(attempt);
     aRequest.tried_endpoints.push_back(placed->endpoint);
@@ -1077,7 +1061,7 @@
       const Duration waited = aNow - attempt.started;
       longest = std::max(longest, waited);
       if (!attempt.head_received && !attempt.stalled &&
-          waited >= state.StallAfter(aNow)) {
+          waited >= state.StallAfter(attempt.queued_turns, aNow)) {
         attempt.stalled = true;
         state.Observe(attempt.endpoint, { WorkResult::Stalled, waited }, aNow);
         WorkReport report;
--- a/src/sapphirelane/proxy/pending_request.h
+++ b/src/sapphirelane/proxy/pending_request.h
@@ -27,6 +27,7 @@
   std::string endpoint;
   TimePoint started{};
   bool trial = false;         ///< Tests an ejected endpoint.
+  double queued_turns = 0;    ///< See Placement.
   bool stalled = false;       ///< Reported as stalled.
   bool head_received = false; ///< The response head has arrived.
   bool failed = false;        ///< By its response head.
--- a/src/sapphirelane/proxy/service_book.h
+++ b/src/sapphirelane/proxy/service_book.h
@@ -21,7 +21,6 @@
   std::unique_ptr<RequestQueue> queue;
   std::size_t reserved_slots = 0; ///< Held by requests that await their claim.
   bool has_safe_route = false;
-  TimePoint last_safe_work{}; ///< When a resendable request was last placed.
   TimePoint last_ejection_update{};
   TimePoint last_evidence_share{};
   TimePoint last_idle_log{};
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -46,6 +46,15 @@
 /// allows 0.3 of the endpoints to stay idle.
 constexpr double kMaxProbedFailure = 0.3;
 
+/// Share of unserved requests of a service above which idle endpoints get
+/// requests. Slightly below 0.1, the share from which the minimum healthy
+/// capacity is enforced.
+constexpr double kMaxUnservedShare = 0.09;
+
+/// Time without resendable requests after which other requests of the service
+/// may probe idle endpoints too, whatever its routes allow.
+constexpr Milliseconds kSafeWorkWindow{ 3000 };
+
 /// Cost of an endpoint in another data centre if this daemon does not receive
 /// all load reports from there, in requests.
 constexpr double kUnseenWorkCost = 0.1;
@@ -186,6 +195,20 @@
          aState.endpoint.data_centre != m_options.data_centre;
 }
 
+void
+ServiceState::SetExploration(PlaceRequest& aRequest,
+                             double aUnserved,
+                             TimePoint aNow)
+{
+  if (aRequest.repeatable) {
+    m_lastRepeatable = aNow;
+  }
+  // Requests that may be repeated are preferred to probe idle endpoints.
+  aRequest.explores =
+    aNow - m_lastRepeatable > kSafeWorkWindow || aRequest.repeatable;
+  aRequest.spread = aRequest.explores && aUnserved > kMaxUnservedShare;
+}
+
 std::optional<Placement>
 ServiceState::Place(const PlaceRequest& aRequest,
                     TimePoint aNow,
@@ -202,7 +225,7 @@
     if (getsTrial) {
       state.trial_running = true;
       return Placement{
-        id, state.endpoint.address, true, LogFields().Add("choice", "trial")
+        id, state.endpoint.address, true, 0, LogFields().Add("choice", "trial")
       };
     }
     if (!IsEligible(state)) {
@@ -231,9 +254,13 @@
     .Add("failure", chosen.failure)
     .Add("in_flight", chosen.in_flight + chosen.others_in_flight)
     .Add("latency_ms", chosen.latency);
-  return Placement{
-    chosen.id, m_endpoints.at(chosen.id).endpoint.address, false, inputs
-  };
+  const double slots = std::max(1U, chosen.slots);
+  const double inFlight = chosen.in_flight + chosen.others_in_flight;
+  return Placement{ chosen.id,
+                    m_endpoints.at(chosen.id).endpoint.address,
+                    false,
+                    std::max(0.0, inFlight + 1 - slots) / slots,
+                    inputs };
 }
 
 /// Finds an endpoint that joined while this daemon runs and that no daemon has
@@ -558,9 +585,11 @@
 }
 
 Duration
-ServiceState::StallAfter(TimePoint aNow) const
+ServiceState::StallAfter(double aQueuedTurns, TimePoint aNow) const
 {
-  return m_ejector->StallAfter(aNow);
+  const Seconds queued(aQueuedTurns * ToSeconds(MeanLatency()));
+  return m_ejector->StallAfter(aNow) +
+         std::chrono::duration_cast<Duration>(queued);
 }
 
 Duration
