Let every request probe idle endpoints while many fail

Cause: while over 9% of a service's requests fail, idle endpoints are to get some. That was left to requests that may be repeated, or to others if there were none of them for 3 s. Where a fifth of the requests may be repeated, these are too few to reach the endpoints, and the rest stays with those that answered lately.

Why it works: the limits on idle endpoints and on probing bind only while they are needed, and then for all requests. In calm times requests that cannot be repeated are spared as before.

--- a/src/sapphirelane/proxy/floor_simulation_test.cpp
+++ b/src/sapphirelane/proxy/floor_simulation_test.cpp
@@ -405,5 +405,24 @@
   CHECK(fleet.StalledShare() <= 0.01);
 }
 
+/// Guards against leaving the search for idle endpoints to requests that may be
+/// repeated, which are too few to reach all of them while a tenth fails.
+TEST_CASE("ServiceState, few requests may be repeated, healthy endpoints get "
+          "requests in any 2 s")
+{
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    FleetLoadOptions options;
+    options.endpoints = 120;
+    options.daemons = 30;
+    options.load = 0.3;
+    options.safe = 0.2;
+    options.seed = seed;
+    FleetLoadSimulation fleet(options);
+    fleet.Run(std::chrono::seconds(20));
+    INFO("seed " << seed << " served " << fleet.ServedShare());
+    CHECK(fleet.SmallestShareInUse() >= kMinShareInUse);
+  }
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -203,10 +203,11 @@
   if (aRequest.repeatable) {
     m_lastRepeatable = aNow;
   }
-  // Requests that may be repeated are preferred to probe idle endpoints.
+  // Requests that may be repeated are preferred to probe idle endpoints, unless
+  // many requests fail: then all are needed to reach the idle ones.
   aRequest.explores =
     aNow - m_lastRepeatable > kSafeWorkWindow || aRequest.repeatable;
-  aRequest.spread = aRequest.explores && aUnserved > kMaxUnservedShare;
+  aRequest.spread = aUnserved > kMaxUnservedShare;
 }
 
 std::optional<Placement>
