Keep the caller listener until the threads that use it have ended

Cause: a planned stop destroyed the listener for callers and then stopped the threads one after the other, the dispatch thread last. Until then, 0.1 s to 0.6 s later, a new version of the configuration made the dispatch thread set the limits of the listener through the empty pointer. The class is an object that is destroyed while a thread that uses it runs. Looked at elsewhere: the operators' listener joins its threads before it is destroyed; fleet, dispatcher and metrics outlive the kernel, whose duties are joined in the order that lets the dispatch thread end last; the destructor of the daemon had the same order as the stop and is mended with it.

Why it works: the listener is stopped, its thread joined, and the object stays valid, so that late settings have no effect.

--- a/include/sapphirelane/proxy/caller_front.h
+++ b/include/sapphirelane/proxy/caller_front.h
@@ -32,8 +32,14 @@
   /// A value of zero selects the default.
   virtual void SetLimits(const CallerLimits& aLimits) = 0;
 
-  /// @return Number of requests whose response is not completely written.
+  /// @return Number of requests whose response is not completely written; not
+  /// to be called after Stop.
   virtual std::size_t Open() const = 0;
+
+  /// @brief Closes all connections and ends the listener's thread. The other
+  /// members have no effect afterwards, and may still be called by threads that
+  /// run on.
+  virtual void Stop() = 0;
 };
 
 /// @brief Options of the listener for callers.
--- a/src/sapphirelane/proxy/caller_front.cpp
+++ b/src/sapphirelane/proxy/caller_front.cpp
@@ -54,8 +54,13 @@
     m_thread = std::thread([this] { m_io.run(); });
   }
 
-  ~AsioCallerListener() override
+  ~AsioCallerListener() override { Stop(); }
+
+  void Stop() override
   {
+    if (!m_thread.joinable()) {
+      return;
+    }
     asio::post(m_io, [this] {
       StopAccepting();
       m_checkTimer.cancel();
--- a/src/sapphirelane/proxy/entry_app.cpp
+++ b/src/sapphirelane/proxy/entry_app.cpp
@@ -50,9 +50,7 @@
 
   ~EntryDaemon() override
   {
-    m_callerListener.reset();
-    m_operatorListener.reset();
-    m_kernel.Stop();
+    StopThreads();
   }
 
   void Start() override
@@ -95,9 +93,7 @@
     m_callerListener->StopListening();
     const bool allCompleted = WaitForRequests(drainDeadline);
     LeaveFleet();
-    m_callerListener.reset();
-    m_operatorListener.reset();
-    m_kernel.Stop();
+    StopThreads();
     LogLine("entry",
             allCompleted ? "Stopped with no request cut off."
                          : "Stopped; requests were cut off at the drain limit.",
@@ -137,6 +133,17 @@
     });
   }
 
+  /// Stops all threads. What they use of each other is destroyed only when none
+  /// of them runs any more.
+  void StopThreads()
+  {
+    if (m_callerListener) {
+      m_callerListener->Stop();
+    }
+    m_operatorListener.reset();
+    m_kernel.Stop();
+  }
+
   void Tick(TimePoint aNow)
   {
     m_fleet->Tick(aNow);
