Hold a daemon to its own limit at an endpoint by its own requests

What callers saw: nothing on today's sites, whose endpoints have 2 slots. At endpoints of 16 slots the whole fleet used 8.

Cause: the limit on one daemon's requests at an endpoint (pool, 8) was compared with those of all daemons.

Evidence: the new test; before, an endpoint of 16 slots with 8 requests of others had 0 free slots, now 8. Slots plus ahead still bound the sum, so endpoints of 2 slots get at most 6 as before.

--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -135,10 +135,10 @@
 std::uint32_t
 ServiceState::FreeCapacity(const EndpointState& aState) const
 {
-  const std::uint32_t limit =
-    std::min(aState.endpoint.slots + m_options.ahead, m_options.pool);
+  const std::uint32_t limit = aState.endpoint.slots + m_options.ahead;
   const std::uint32_t used = aState.in_flight + aState.others_in_flight;
-  return limit - std::min(limit, used);
+  const std::uint32_t own = std::min(m_options.pool, aState.in_flight);
+  return std::min(limit - std::min(limit, used), m_options.pool - own);
 }
 
 bool
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -195,5 +195,26 @@
   CHECK(m_state->IdleEndpoints(m_now).size() == 3);
 }
 
+TEST_CASE_METHOD(ServiceStateFixture,
+                 "ServiceState, other daemons use half of an endpoint's slots, "
+                 "still uses the rest")
+{
+  Make(1, 16);
+  FleetEvidence evidence;
+  evidence.service = "s";
+  EndpointEvidence busy;
+  busy.endpoint = "e100";
+  busy.in_flight = 8;
+  evidence.endpoints = { busy };
+  m_state->ObserveFleet(evidence, m_now);
+  CHECK(m_state->FreeSlots() == 8);
+  for (int i = 0; i < 8; ++i) {
+    REQUIRE(m_state->Place({}, m_now, m_random));
+    m_state->Begin("e100", m_now);
+  }
+  // This daemon's own limit at one endpoint.
+  CHECK_FALSE(m_state->Place({}, m_now, m_random));
+}
+
 } // namespace
 } // namespace sapphirelane
