Bound the framing of an endpoint's answer

Cause: heads were bounded by 64 KB and bodies by 256 KB that nobody has read, but an extension of a chunk, a chunk's size and trailers without an end were buffered until the attempt's deadline, as the library's parser waits for their end.

Evidence: an endpoint that writes up to 64 MB after seven beginnings of an answer. A body without an end that nobody reads was bounded before and is.

Why it works: what the parser has left in the buffer is never longer than a head may be.

--- a/src/sapphirelane/proxy/loopback.h
+++ b/src/sapphirelane/proxy/loopback.h
@@ -28,9 +28,12 @@
       ConnectSocket(aAddress, Milliseconds(5000), Milliseconds(20000)));
   }
 
-  void Write(const std::string& aBytes) const
+  /// @return False if the connection is closed.
+  bool Write(const std::string& aBytes) const
   {
-    (void)send(m_socket.Get(), aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    const ssize_t count =
+      send(m_socket.Get(), aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    return count == static_cast<ssize_t>(aBytes.size());
   }
 
   /// @brief Reads until the text or the end of the stream is received.
--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -2,7 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "sapphirelane/base/bounded_ring.h"
 #include "sapphirelane/proxy/loopback.h"
@@ -254,5 +257,85 @@
   CHECK(end.sent); // The request may have run.
 }
 
+/// Bytes that sockets may hold on both sides, and what the client may buffer.
+constexpr std::size_t kMaxAcceptedBytes = 16U << 20U;
+constexpr std::size_t kEndlessBytes = 64U << 20U;
+
+/// Writes a text over and over until the connection is closed.
+/// @return Bytes that were accepted.
+std::size_t
+WriteEndlessly(const RawConnection& aConnection, const std::string& aText)
+{
+  std::string block;
+  while (block.size() < 65536) {
+    block += aText;
+  }
+  std::size_t accepted = 0;
+  while (accepted < kEndlessBytes && aConnection.Write(block)) {
+    accepted += block.size();
+  }
+  return accepted;
+}
+
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, bytes without an end that are no body, fails "
+                 "within a bound")
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked =
+    status + "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> responses = {
+    { "", "garbage" },
+    { status + "X: ", "value" },
+    { status, "X: value\r\n" },
+    { chunked + "1;", "extension" },
+    { chunked + "1\r\nx\r\n", "0" },
+    { chunked + "0\r\nX: ", "trailer" },
+    { chunked + "0\r\n", "X: trailer\r\n" },
+  };
+  for (const auto& [start, endless] : responses) {
+    INFO("after \"" << start << "\" \"" << endless << "\"");
+    Start(1);
+    RawConnection endpoint = m_listener.Accept();
+    endpoint.ReadUntil("\r\n\r\n");
+    endpoint.Write(start);
+    CHECK(WriteEndlessly(endpoint, endless) <= kMaxAcceptedBytes);
+    m_io->Cancel(1);
+    AttemptEvent event = NextEvent();
+    event = event.kind == AttemptEvent::Kind::Head ? NextEvent() : event;
+    CHECK_FALSE(event.whole);
+    CHECK_FALSE(event.kept);
+    CHECK(event.error != "cancelled");
+  }
+}
+
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, body without an end that nobody reads, is "
+                 "buffered within a bound")
+{
+  Start(1, false);
+  RawConnection endpoint = m_listener.Accept();
+  endpoint.ReadUntil("\r\n\r\n");
+  endpoint.Write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n");
+  CHECK(NextEvent().head.status == 200);
+  m_io->Accept(1);
+  std::atomic<std::size_t> accepted{ 0 };
+  std::thread writer([&] {
+    const std::string block(65536, 'x');
+    while (accepted < kEndlessBytes && endpoint.Write(block)) {
+      accepted += block.size();
+    }
+  });
+  std::size_t before = 0;
+  do {
+    before = accepted;
+    std::this_thread::sleep_for(Milliseconds(200));
+  } while (accepted != before);
+  CHECK(accepted <= kMaxAcceptedBytes);
+  m_io->Cancel(1);
+  CHECK_FALSE(NextEvent().whole);
+  writer.join();
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -316,6 +316,12 @@
   m_connection->input.commit(aSize);
   while (!m_finished && ParseInput()) {
   }
+  // The parser waits for the end of a chunk's extension or of the trailers, and
+  // sets no limit to them.
+  if (!m_finished && m_connection->input.size() > kMaxHeadBytes) {
+    m_reusable = false;
+    Finish(false, "the answer's framing is too long");
+  }
   if (!m_finished) {
     FlushResponse();
     Read();
