Drop reported requests that must have ended

Found by reading for the class of the view's fault.

Cause: a load report names the endpoints whose numbers changed, and is the only one to do so. If the report of a request's end is lost or overtaken by a later one, the request stays in flight at its endpoint for the receiver until the same daemon uses the same endpoint again, which in a large fleet takes long. The daemons that are cut off and come back leave such reports, too. Endpoints then look full that are idle.

Evidence: the new test, red before (a report of 4.5 s ago still counted, routes of 3 s).

Why it works: no request lasts longer than the longest time limit of the routes and the second that its end may take, so an older report describes nothing.

--- a/include/sapphirelane/relay/work_board.h
+++ b/include/sapphirelane/relay/work_board.h
@@ -26,11 +26,16 @@
 
   /// @brief Applies another daemon's update.
   /// @return Its evidence about endpoints that are known here, by service.
-  std::vector<FleetEvidence> Take(const WorkNews& aUpdate);
+  std::vector<FleetEvidence> Take(const WorkNews& aUpdate, TimePoint aNow);
 
   /// @brief Removes the requests in flight of a daemon that is no longer live.
   /// @return Evidence for the endpoints that it had requests at.
-  std::vector<FleetEvidence> Drop(NodeId aNode);
+  std::vector<FleetEvidence> Drop(NodeId aNode, TimePoint aNow);
+
+  /// @brief Removes requests in flight whose latest report is older than any
+  /// request lasts: they have ended, and the report of it was lost.
+  /// @return Evidence for their endpoints.
+  std::vector<FleetEvidence> DropEnded(TimePoint aNow);
 
   /// @brief Daemons that have requests in flight.
   std::vector<NodeId> Nodes() const;
@@ -70,13 +75,21 @@
     std::string data_centre;
   };
 
+  /// Requests of one daemon at one endpoint.
+  struct ReportedWork
+  {
+    std::uint32_t in_flight = 0;
+    TimePoint reported_at{};
+  };
+
   std::uint32_t TotalInFlight(std::uint32_t aEndpoint) const;
 
   std::unordered_map<std::uint32_t, EndpointInfo> m_endpoints;
   std::unordered_map<std::uint32_t, std::string> m_accounts;
   std::unordered_map<std::uint32_t, std::string> m_services;
   /// Requests in flight, by endpoint and daemon.
-  std::unordered_map<std::uint32_t, std::map<NodeId, std::uint32_t>> m_inFlight;
+  std::unordered_map<std::uint32_t, std::map<NodeId, ReportedWork>> m_inFlight;
+  Duration m_maxRequestTime{ 0 }; ///< Of all routes; 0 if not known.
 
   std::map<std::uint32_t, EndpointWork>
     m_changedEndpoints; ///< Not reported yet.
--- a/src/sapphirelane/relay/work_board.cpp
+++ b/src/sapphirelane/relay/work_board.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Time for which an attempt may outlast its request's time limit.
+constexpr Milliseconds kRequestEndGrace{ 1000 };
+
 std::uint16_t
 SaturateTo16Bits(std::uint64_t aNumber)
 {
@@ -24,6 +27,11 @@
   m_endpoints.clear();
   m_accounts.clear();
   m_services.clear();
+  m_maxRequestTime = Duration::zero();
+  for (const auto& entry : aConfig.routes) {
+    m_maxRequestTime = std::max<Duration>(
+      m_maxRequestTime, entry.second.timeout + kRequestEndGrace);
+  }
   for (const auto& [id, endpoint] : aConfig.endpoints) {
     m_endpoints[ShortHash(id)] = { endpoint.service, id, endpoint.data_centre };
   }
@@ -42,20 +50,20 @@
   std::uint32_t sum = 0;
   if (found != m_inFlight.end()) {
     for (const auto& entry : found->second) {
-      sum += entry.second;
+      sum += entry.second.in_flight;
     }
   }
   return sum;
 }
 
 std::vector<FleetEvidence>
-WorkBoard::Take(const WorkNews& aUpdate)
+WorkBoard::Take(const WorkNews& aUpdate, TimePoint aNow)
 {
   std::map<std::string, FleetEvidence> byService;
   for (const EndpointWork& work : aUpdate.endpoints) {
     auto& daemons = m_inFlight[work.endpoint];
     if (work.in_flight > 0) {
-      daemons[aUpdate.origin] = work.in_flight;
+      daemons[aUpdate.origin] = { work.in_flight, aNow };
     } else {
       daemons.erase(aUpdate.origin);
     }
@@ -82,7 +90,7 @@
 }
 
 std::vector<FleetEvidence>
-WorkBoard::Drop(NodeId aNode)
+WorkBoard::Drop(NodeId aNode, TimePoint aNow)
 {
   WorkNews cleared;
   cleared.origin = aNode;
@@ -93,7 +101,32 @@
       cleared.endpoints.push_back(work);
     }
   }
-  return Take(cleared);
+  return Take(cleared, aNow);
+}
+
+std::vector<FleetEvidence>
+WorkBoard::DropEnded(TimePoint aNow)
+{
+  std::map<NodeId, WorkNews> cleared;
+  for (const auto& [endpoint, daemons] : m_inFlight) {
+    for (const auto& [node, work] : daemons) {
+      const bool ended = m_maxRequestTime > Duration::zero() &&
+                         aNow - work.reported_at > m_maxRequestTime;
+      if (ended) {
+        EndpointWork none;
+        none.endpoint = endpoint;
+        cleared[node].endpoints.push_back(none);
+      }
+    }
+  }
+  std::vector<FleetEvidence> all;
+  for (auto& [node, update] : cleared) {
+    update.origin = node;
+    for (FleetEvidence& one : Take(update, aNow)) {
+      all.push_back(std::move(one));
+    }
+  }
+  return all;
 }
 
 std::vector<NodeId>
--- a/src/sapphirelane/relay/work_relay.cpp
+++ b/src/sapphirelane/relay/work_relay.cpp
@@ -109,10 +109,10 @@
 std::vector<FleetEvidence>
 LoadExchange::RemoveDeadDaemons(TimePoint aNow)
 {
-  std::vector<FleetEvidence> all;
+  std::vector<FleetEvidence> all = m_load.DropEnded(aNow);
   for (NodeId node : m_load.Nodes()) {
     if (!m_peers.IsLive(node, aNow)) {
-      for (FleetEvidence& one : m_load.Drop(node)) {
+      for (FleetEvidence& one : m_load.Drop(node, aNow)) {
         all.push_back(std::move(one));
       }
     }
@@ -260,7 +260,7 @@
       received.Advance(received.unserved, work.service, work.unserved);
     m_shortfalls[service].Note(ended, unserved, aNow);
   }
-  return m_load.Take(aUpdate);
+  return m_load.Take(aUpdate, aNow);
 }
 
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/work_relay.h
+++ b/src/sapphirelane/relay/work_relay.h
@@ -50,7 +50,8 @@
   /// @return Its evidence about endpoints.
   std::vector<FleetEvidence> OnUpdate(const WorkNews& aUpdate, TimePoint aNow);
 
-  /// @brief Removes the requests in flight of daemons that are no longer live.
+  /// @brief Removes the requests in flight of daemons that are no longer live,
+  /// and those that must have ended.
   /// @return Evidence for the endpoints that they had requests at.
   std::vector<FleetEvidence> RemoveDeadDaemons(TimePoint aNow);
 
--- a/src/sapphirelane/relay/work_relay_test.cpp
+++ b/src/sapphirelane/relay/work_relay_test.cpp
@@ -156,5 +156,44 @@
   CHECK(m_env.sent[1].accounts[0].spent == 2);
 }
 
+TEST_CASE_METHOD(LoadExchangeFixture,
+                 "LoadExchange, report of a request's end is lost, frees its "
+                 "slot once the request must have ended")
+{
+  Endpoint endpoint;
+  endpoint.id = "e";
+  endpoint.service = "s";
+  m_config.endpoints["e"] = endpoint;
+  Route route;
+  route.timeout = Milliseconds(3000);
+  m_config.routes["r"] = route;
+  m_exchange.Load(m_config);
+  const auto receivePresence = [&] {
+    PresenceNews update;
+    update.self = { 7, "other", "a", "other:1" };
+    m_peers.OnPresence(update, m_now);
+  };
+  receivePresence();
+  WorkNews begin;
+  begin.origin = 7;
+  begin.sequence = 1;
+  EndpointWork work;
+  work.endpoint = ShortHash("e");
+  work.in_flight = 1;
+  begin.endpoints.push_back(work);
+  const auto begun = m_exchange.OnUpdate(begin, m_now);
+  REQUIRE(begun.size() == 1);
+  CHECK(begun[0].endpoints[0].in_flight == 1U);
+  m_now += Milliseconds(3000);
+  receivePresence();
+  CHECK(m_exchange.RemoveDeadDaemons(m_now).empty()); // It may still run.
+  m_now += Milliseconds(1500);
+  receivePresence();
+  const auto ended = m_exchange.RemoveDeadDaemons(m_now);
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].endpoints[0].endpoint == "e");
+  CHECK(ended[0].endpoints[0].in_flight == 0U);
+}
+
 } // namespace
 } // namespace sapphirelane
