--- a/src/sapphirelane/proxy/entry_app.cpp
+++ b/src/sapphirelane/proxy/entry_app.cpp
@@ -48,10 +48,7 @@
       *m_dispatch, *m_dispatcher, *m_fleet, *m_metrics);
   }
 
-  ~EntryDaemon() override
-  {
-    StopThreads();
-  }
+  ~EntryDaemon() override { StopThreads(); }
 
   void Start() override
   {
