Neither hedge nor call a request stalled on the first answers alone

Cause: the first answers that a daemon hears of are the fastest of many requests. The delay of hedges was three times the latency of the fastest endpoint, the stall time five times a mean that began with the first answer, and 0.4 s without any. So in the first second nearly every safe request was hedged after 20 ms and most others stalled after 0.4 s, while requests take 0.6 s. The class is a sample that is taken for the whole.

New tests: three of their checks failed before (hedge delay after one answer of 6 ms, stall time after it, and hedge delay in a service of 300 ms with one fast endpoint).

--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -199,6 +199,7 @@
   std::uint32_t m_minHealthyPercent = 0;
   bool m_receivesAllReports = true;
   TimePoint m_lastRepeatable{}; ///< When a repeatable request was last placed.
+  std::uint64_t m_answers = 0;  ///< Answers known of, of all daemons.
   Duration m_meanLatency{ 0 };  ///< Over the endpoints, at the last placement.
   std::map<std::string, EndpointState> m_endpoints;
   bool m_hasBadEvidence = false;
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -13,7 +13,13 @@
 constexpr double kLatencySmoothing = 0.1;
 constexpr Duration kLatencyHalfLife = Milliseconds(2000);
 constexpr Duration kMinHedgeDelay = Milliseconds(20);
-constexpr double kHedgeDelayFactor = 3;
+constexpr double kHedgeDelayFactor = 2;
+
+/// Answers of a service below which its latency is unknown: the first ones are
+/// the fastest of many requests. Until then no request is hedged, and it stalls
+/// after kUnknownStallTimeout.
+constexpr std::uint64_t kMinAnswers = 50;
+constexpr Milliseconds kUnknownStallTimeout{ 3000 };
 
 /// Time in service assumed of endpoints that were there when this daemon
 /// started.
@@ -451,6 +457,7 @@
   EndpointState& state = found->second;
   m_ejector->Observe(aEndpoint, aObservation, aNow);
   if (aObservation.result == WorkResult::Answered) {
+    ++m_answers;
     ++state.evidence.answered;
     RecordLatency(state, aObservation.elapsed, aNow);
   } else {
@@ -492,6 +499,7 @@
     }
     EndpointState& state = found->second;
     RecordUse(state, item, aNow);
+    m_answers += item.answered;
     const Observation good{ WorkResult::Answered,
                             item.answer_time,
                             item.answered };
@@ -588,6 +596,9 @@
 Duration
 ServiceState::StallAfter(double aQueuedTurns, TimePoint aNow) const
 {
+  if (m_answers < kMinAnswers) {
+    return kUnknownStallTimeout;
+  }
   const Seconds queued(aQueuedTurns * ToSeconds(MeanLatency()));
   return m_ejector->StallAfter(aNow) +
          std::chrono::duration_cast<Duration>(queued);
@@ -596,16 +607,10 @@
 Duration
 ServiceState::HedgeAfter() const
 {
-  Duration shortest = Duration::max();
-  for (const auto& entry : m_endpoints) {
-    if (entry.second.latency > Duration::zero()) {
-      shortest = std::min(shortest, entry.second.latency);
-    }
-  }
-  if (shortest == Duration::max()) {
-    return Milliseconds(100);
+  if (m_answers < kMinAnswers) {
+    return Duration::max();
   }
-  const Seconds scaled(ToSeconds(shortest) * kHedgeDelayFactor);
+  const Seconds scaled(ToSeconds(MeanLatency()) * kHedgeDelayFactor);
   return std::max(kMinHedgeDelay, std::chrono::duration_cast<Duration>(scaled));
 }
 
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -216,5 +216,30 @@
   CHECK_FALSE(m_state->Place({}, m_now, m_random));
 }
 
+/// Guards against taking the first answers, the fastest of many requests, for
+/// typical: nearly all requests were hedged and counted as stalled.
+TEST_CASE_METHOD(ServiceStateFixture,
+                 "ServiceState, only a fast answer is known, neither hedges "
+                 "nor calls a request stalled soon")
+{
+  m_state->Observe("e100", { WorkResult::Answered, Milliseconds(6) }, m_now);
+  CHECK(m_state->HedgeAfter() >= std::chrono::seconds(2));
+  CHECK(m_state->StallAfter(0, m_now) >= std::chrono::seconds(2));
+}
+
+TEST_CASE_METHOD(ServiceStateFixture,
+                 "ServiceState, one endpoint answers fast, hedges later than "
+                 "the others take")
+{
+  m_latency = Milliseconds(300);
+  Send(200, {});
+  m_state->Observe("e100", { WorkResult::Answered, Milliseconds(6) }, m_now);
+  for (int i = 0; i < 60; ++i) {
+    m_state->Observe("e101", { WorkResult::Answered, Milliseconds(6) }, m_now);
+  }
+  CHECK(m_state->HedgeAfter() >= m_latency);
+  CHECK(m_state->HedgeAfter() <= 3 * m_latency);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/routing/spell_ejector.cpp
+++ b/src/sapphirelane/routing/spell_ejector.cpp
@@ -80,11 +80,12 @@
     }
     UpdateModel(state, prior, good, aNow);
     if (good && aObservation.elapsed > Duration::zero()) {
-      const double sample = ToSeconds(aObservation.elapsed);
+      // The mean of the first samples, then a moving average.
+      ++m_latencySamples;
+      const double weight =
+        std::max(kSlowLearningRate * 2, 1.0 / m_latencySamples);
       m_latencySeconds =
-        m_latencySeconds == 0
-          ? sample
-          : MoveAverage(m_latencySeconds, sample, kSlowLearningRate * 2);
+        MoveAverage(m_latencySeconds, ToSeconds(aObservation.elapsed), weight);
     }
   }
 
@@ -305,6 +306,7 @@
   double m_degradedFailureRate; ///< Failure rate in an episode.
   double m_healthyFailureRate;  ///< Failure rate outside of episodes.
   double m_latencySeconds = 0;  ///< Mean latency of the service, in seconds.
+  std::uint32_t m_latencySamples = 0;
   std::map<std::string, State> m_states;
 };
 
