Reuse a connection only if its answers name their requests

Cause: an endpoint that sends a second copy of an answer 4 ms late, on a connection that is in use again, was taken for the endpoint's answer to the next request. Natively the request id was sent, but not checked.

Change: the id is checked in every dialect, and a connection is reused only if the answer echoes it. Natively, an endpoint that does not echo it costs a new connection for each request; the stand-in echoes it now. Bytes that are no answer, which may also come late and break the answer that is due, keep the connections of that endpoint from being reused for 10 s. Pooled connections belong to one lifetime of an endpoint, as those to an earlier process under its id and address are dead. An endpoint's own copy of the native id no longer reaches the caller beside ours.

Ruled out: waiting before reuse, which only bounds the delay of a copy; checking bodies, which nobody can.

--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -16,8 +16,11 @@
 {
   std::uint64_t id = 0;
   ExchangePtr exchange;
-  std::string endpoint; ///< Id; connections are pooled by id and address.
+  std::string endpoint; ///< Id; see lifetime.
   std::string address;  ///< "ip:port".
+  /// Of the endpoint. Connections are pooled by id, address and lifetime, as
+  /// one to an earlier process is dead.
+  std::uint64_t lifetime = 0;
   std::string method;
   std::string target;
   Headers headers;
@@ -28,7 +31,9 @@
   Duration unused_for = Duration::max(); ///< Limit for a pooled connection.
   bool hold = false; ///< Report the head only with the complete response.
   std::string deadline_header; ///< Carries the time left; empty for none.
-  std::string echo_header; ///< Response header with the request id, or empty.
+  /// Response header with the request id. A connection is reused only if the
+  /// response has it; one with another value is skipped.
+  std::string echo_header;
   std::string echo;        ///< Expected value of that header.
   TimePoint send_before{}; ///< Fail instead of sending at or after this time.
   TimePoint deadline{};    ///< Sent to the upstream as time left.
--- a/src/sapphirelane/proxy/connection_pool.cpp
+++ b/src/sapphirelane/proxy/connection_pool.cpp
@@ -4,6 +4,14 @@
 
 namespace sapphirelane {
 
+namespace {
+
+/// Time for which the connections of an endpoint that has sent bytes beyond its
+/// responses are not reused; it spans the usual episode of such a fault.
+constexpr std::chrono::seconds kNoReuseTime{ 10 };
+
+} // namespace
+
 UpstreamConnectionPtr
 ConnectionPool::Acquire(const std::string& aKey,
                         Duration aMaxIdleTime,
@@ -19,23 +27,40 @@
     found->second.pop_back();
     boost::system::error_code error;
     connection->socket.cancel(error);
-    const bool healthy = !error && aNow < connection->expires_at &&
-                         connection->socket.available(error) == 0 && !error;
-    if (healthy) {
+    const bool strayBytes = connection->socket.available(error) > 0;
+    if (strayBytes) {
+      ForbidReuse(aKey, aNow);
+      return nullptr;
+    }
+    if (!error && aNow < connection->expires_at) {
       return connection;
     }
   }
   return nullptr;
 }
 
-void
+bool
 ConnectionPool::Release(const UpstreamConnectionPtr& aConnection)
 {
+  auto forbidden = m_noReuseUntil.find(aConnection->pool_key);
   auto& idle = m_idle[aConnection->pool_key];
-  if (idle.size() < m_maxIdlePerEndpoint) {
-    idle.push_back(aConnection);
-    RemoveOnInput(aConnection);
+  const bool reuses = forbidden == m_noReuseUntil.end() ||
+                      aConnection->last_used >= forbidden->second;
+  if (!reuses || idle.size() >= m_maxIdlePerEndpoint) {
+    boost::system::error_code ignored;
+    aConnection->socket.close(ignored);
+    return false;
   }
+  idle.push_back(aConnection);
+  RemoveOnInput(aConnection);
+  return true;
+}
+
+void
+ConnectionPool::ForbidReuse(const std::string& aKey, TimePoint aNow)
+{
+  m_noReuseUntil[aKey] = aNow + kNoReuseTime;
+  m_idle.erase(aKey);
 }
 
 void
@@ -49,6 +74,11 @@
       if (aError || connection == nullptr) {
         return; // It was acquired or removed.
       }
+      boost::system::error_code error;
+      if (connection->socket.available(error) > 0) {
+        ForbidReuse(connection->pool_key, Clock::now());
+        return;
+      }
       auto& idle = m_idle[connection->pool_key];
       idle.erase(std::remove(idle.begin(), idle.end(), connection), idle.end());
     });
@@ -67,6 +97,9 @@
                idle.end());
     it = idle.empty() ? m_idle.erase(it) : std::next(it);
   }
+  for (auto it = m_noReuseUntil.begin(); it != m_noReuseUntil.end();) {
+    it = aNow >= it->second ? m_noReuseUntil.erase(it) : std::next(it);
+  }
 }
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/connection_pool.h
+++ b/src/sapphirelane/proxy/connection_pool.h
@@ -25,7 +25,7 @@
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer input;
-  std::string pool_key; ///< Endpoint and address.
+  std::string pool_key; ///< Endpoint, address and lifetime.
   TimePoint last_used{};
   TimePoint expires_at{}; ///< Not reused at or after this time.
   bool reused = false;    ///< It has served an earlier attempt.
@@ -36,7 +36,10 @@
 /// @brief Pool of idle keep-alive connections to endpoints.
 ///
 /// A connection that becomes readable while it is idle, because the endpoint
-/// closed it or sent bytes that belong to no request, is removed.
+/// closed it or sent bytes that belong to no request, is removed. An endpoint
+/// that sends such bytes may send them late as well, when a connection is in
+/// use again and they break the response that is due there; so none of its
+/// connections is reused for a while.
 class ConnectionPool
 {
 public:
@@ -52,8 +55,14 @@
                                 Duration aMaxIdleTime,
                                 TimePoint aNow);
 
-  /// @brief Returns a connection for reuse; closes it if the pool is full.
-  void Release(const UpstreamConnectionPtr& aConnection);
+  /// @brief Returns a connection for reuse, unless the pool is full or the
+  /// endpoint's connections are not reused.
+  /// @return False if it was closed.
+  bool Release(const UpstreamConnectionPtr& aConnection);
+
+  /// @brief Closes an endpoint's connections, and does not reuse those that are
+  /// returned in the next seconds.
+  void ForbidReuse(const std::string& aKey, TimePoint aNow);
 
   /// @brief Closes connections that are past their expiry time.
   void RemoveExpired(TimePoint aNow);
@@ -66,6 +75,7 @@
 
   std::size_t m_maxIdlePerEndpoint;
   std::map<std::string, std::vector<UpstreamConnectionPtr>> m_idle;
+  std::map<std::string, TimePoint> m_noReuseUntil; ///< See ForbidReuse.
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -622,11 +622,11 @@
     if (dialect.forward_host && host != nullptr) {
       order.headers.emplace_back("Host", *host);
     }
+    order.echo_header = dialect.request_id;
+    order.echo = aRequest.head.request_id;
     if (!dialect.caller_names_requests) {
-      order.headers.emplace_back(dialect.request_id, std::to_string(head.id));
-    } else {
-      order.echo_header = dialect.request_id;
-      order.echo = aRequest.head.request_id;
+      order.echo = std::to_string(head.id);
+      order.headers.emplace_back(dialect.request_id, order.echo);
     }
     if (!dialect.expected_endpoint.empty()) {
       order.headers.emplace_back(dialect.expected_endpoint, aAttempt.endpoint);
--- a/src/sapphirelane/proxy/entry_app_test.cpp
+++ b/src/sapphirelane/proxy/entry_app_test.cpp
@@ -4,12 +4,14 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
 #include "sapphirelane/base/error.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/base/secret.h"
+#include "sapphirelane/proxy/dialect.h"
 #include "sapphirelane/proxy/loopback.h"
 #include "sapphirelane/store/fleet_source.h"
 
@@ -113,5 +115,249 @@
   SetLogSink(nullptr);
 }
 
+/// Source of a configuration with one open route for repeatable requests and
+/// one endpoint, whose address stands in for that of the store.
+class OneEndpointSource : public FleetSource
+{
+public:
+  explicit OneEndpointSource(std::string aAddress)
+    : m_address(std::move(aAddress))
+  {
+  }
+
+  EndpointBatch ReadEndpoints(std::uint64_t aAfter) override
+  {
+    EndpointBatch batch;
+    batch.whole = aAfter == 0;
+    batch.version = 1;
+    if (batch.whole) {
+      Endpoint endpoint;
+      endpoint.id = "e";
+      endpoint.service = "s";
+      endpoint.address = m_address;
+      endpoint.slots = 4;
+      batch.changes.push_back({ "e", 1, endpoint });
+    }
+    return batch;
+  }
+
+  ConfigBatch ReadConfig(std::uint64_t aAfter) override
+  {
+    ConfigBatch batch;
+    batch.version = 1;
+    if (aAfter == 0) {
+      FleetConfig config;
+      config.version = 1;
+      config.services["s"] = { "s", 50, 100 };
+      Route route;
+      route.id = "r";
+      route.path = "/";
+      route.service = "s";
+      route.mode = RouteMode::Safe;
+      route.open = true;
+      route.attempts = 1;
+      config.routes["r"] = route;
+      batch.config = config;
+    }
+    return batch;
+  }
+
+  std::vector<HostEntry> ReadHosts() override { return {}; }
+  void WriteHost(const HostEntry& /*aHost*/) override {}
+  void RemoveHost(const std::string& /*aHost*/) override {}
+
+private:
+  std::string m_address;
+};
+
+const SourceRegistry::Registration kOneEndpointSource(
+  "one-endpoint",
+  [](const PlatformSettings& aSettings) {
+    return std::make_unique<OneEndpointSource>(aSettings.address);
+  });
+
+/// The dialect of a platform whose callers set the request ids.
+class CallerIdDialect : public DialectSource
+{
+public:
+  HttpDialect Get() const override
+  {
+    HttpDialect dialect;
+    dialect.request_id = "Request-Id";
+    dialect.caller_names_requests = true;
+    return dialect;
+  }
+};
+
+const DialectRegistry::Registration kCallerIdDialect("caller-id", [] {
+  return std::make_unique<CallerIdDialect>();
+});
+
+/// Answers each request with its target, and once more a few milliseconds
+/// later.
+class RepeatingEndpoint
+{
+public:
+  /// @param aEchoHeader Header of the request that it repeats in its answers;
+  /// empty for none.
+  explicit RepeatingEndpoint(std::string aEchoHeader)
+    : m_echoHeader(std::move(aEchoHeader))
+    , m_acceptor([this] { Accept(); })
+  {
+  }
+
+  ~RepeatingEndpoint()
+  {
+    m_stopping = true;
+    RawConnection::Connect(m_listener.Address());
+    m_acceptor.join();
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+  }
+
+  std::string Address() const { return m_listener.Address(); }
+  std::size_t Connections() const { return m_connections; }
+
+private:
+  void Accept()
+  {
+    while (!m_stopping) {
+      auto connection = std::make_shared<RawConnection>(m_listener.Accept());
+      if (!m_stopping) {
+        ++m_connections;
+        m_threads.emplace_back([this, connection] { Serve(*connection); });
+      }
+    }
+  }
+
+  void Serve(RawConnection& aConnection) const
+  {
+    for (;;) {
+      const std::string head = aConnection.ReadUntil("\r\n\r\n");
+      const std::size_t start = head.find(' ') + 1;
+      const std::string target =
+        head.substr(start, head.find(' ', start) - start);
+      std::string answer = "HTTP/1.1 200 OK\r\n";
+      const std::size_t echo =
+        m_echoHeader.empty() ? std::string::npos : head.find(m_echoHeader);
+      if (echo != std::string::npos) {
+        answer += head.substr(echo, head.find("\r\n", echo) + 2 - echo);
+      }
+      answer += "Content-Length: " + std::to_string(target.size()) +
+                "\r\n\r\n" + target;
+      if (head.empty() || !aConnection.Write(answer)) {
+        return;
+      }
+      std::this_thread::sleep_for(Milliseconds(4));
+      if (!aConnection.Write(answer)) {
+        return;
+      }
+    }
+  }
+
+  std::string m_echoHeader;
+  RawListener m_listener;
+  std::atomic<bool> m_stopping{ false };
+  std::atomic<std::size_t> m_connections{ 0 };
+  std::vector<std::thread> m_threads;
+  std::thread m_acceptor;
+};
+
+/// Runs a daemon before one endpoint.
+class EntryAppFixture
+{
+protected:
+  EntryAppFixture()
+  {
+    SetLogSink([](const std::string&) {});
+    StartSecrets();
+  }
+
+  ~EntryAppFixture() { SetLogSink(nullptr); }
+
+  /// Starts a daemon and waits until it serves its route.
+  void Start(const std::string& aDialect, const std::string& aEndpoint)
+  {
+    m_settings.host = "h";
+    m_settings.data_centre = "c";
+    m_settings.listen.callers = FreePort();
+    m_settings.listen.peers = FreePort();
+    m_settings.listen.operators = FreePort();
+    m_settings.platform.source = "one-endpoint";
+    m_settings.platform.address = aEndpoint;
+    m_settings.policies.dialect = aDialect;
+    m_settings.balancer_notice = Milliseconds(0);
+    m_app = MakeEntryApp(m_settings);
+    m_app->Start();
+    while (Get("/ready").find(" 200 ") == std::string::npos) {
+      std::this_thread::sleep_for(Milliseconds(10));
+    }
+  }
+
+  /// Sends a request on a connection of its own.
+  /// @return The response, up to the end of the connection.
+  std::string Get(const std::string& aTarget) const
+  {
+    RawConnection caller = RawConnection::Connect(
+      "127.0.0.1:" + std::to_string(m_settings.listen.callers));
+    caller.Write("GET " + aTarget + " HTTP/1.1\r\nHost: h\r\nRequest-Id: r" +
+                 std::to_string(++m_requests) +
+                 "\r\nConnection: close\r\n\r\n");
+    return caller.ReadUntil("never");
+  }
+
+  /// Sends requests one after the other.
+  /// @return Number of responses that are not the request's own.
+  int CountWrong(int aRequests) const
+  {
+    int wrong = 0;
+    for (int i = 0; i < aRequests; ++i) {
+      const std::string target = "/t/" + std::to_string(i);
+      const std::string response = Get(target);
+      const bool right =
+        response.find(" 200 ") != std::string::npos &&
+        response.substr(response.find("\r\n\r\n") + 4) == target;
+      wrong += right ? 0 : 1;
+    }
+    return wrong;
+  }
+
+  EntrySettings m_settings;
+  std::unique_ptr<EntryApp> m_app;
+  mutable int m_requests = 0;
+};
+
+TEST_CASE_METHOD(EntryAppFixture,
+                 "EntryApp, endpoint answers each request twice without the "
+                 "request id, no caller gets the answer to another request")
+{
+  const RepeatingEndpoint endpoint("");
+  Start("sapphirelane", endpoint.Address());
+  CHECK(CountWrong(60) == 0);
+  CHECK(m_app->StopPlanned());
+}
+
+TEST_CASE_METHOD(EntryAppFixture,
+                 "EntryApp, endpoint answers each request twice with the "
+                 "request id, no caller gets the answer to another request")
+{
+  const RepeatingEndpoint endpoint("X-Sapphirelane-Request");
+  Start("sapphirelane", endpoint.Address());
+  CHECK(CountWrong(60) == 0);
+  CHECK(m_app->StopPlanned());
+}
+
+TEST_CASE_METHOD(EntryAppFixture,
+                 "EntryApp, endpoint answers each request twice with the "
+                 "caller's request id, no caller gets the answer to another "
+                 "request")
+{
+  const RepeatingEndpoint endpoint("Request-Id");
+  Start("caller-id", endpoint.Address());
+  CHECK(CountWrong(60) == 0);
+  CHECK(m_app->StopPlanned());
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/http.cpp
+++ b/src/sapphirelane/proxy/http.cpp
@@ -303,8 +303,11 @@
 {
   Headers kept;
   for (const Header& header : RemoveHopByHopHeaders(aHeaders)) {
+    const bool isOwnId =
+      !aDialect.caller_names_requests &&
+      absl::EqualsIgnoreCase(header.first, aDialect.request_id);
     const bool dropped =
-      absl::EqualsIgnoreCase(header.first, "content-length") ||
+      isOwnId || absl::EqualsIgnoreCase(header.first, "content-length") ||
       absl::EqualsIgnoreCase(header.first, aDialect.outcome) ||
       absl::EqualsIgnoreCase(header.first, aDialect.load);
     if (!dropped) {
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -83,7 +83,8 @@
     return;
   }
   RegisterWake();
-  const std::string key = m_attempt.endpoint + "@" + m_attempt.address;
+  const std::string key = absl::StrCat(
+    m_attempt.endpoint, "@", m_attempt.address, "/", m_attempt.lifetime);
   if (!m_attempt.new_connection) {
     m_connection = m_context.pool.Acquire(key, m_attempt.unused_for, aNow);
   }
@@ -360,6 +361,7 @@
     }
     if (scan.size == 0 || scan.size > kMaxHeadBytes || !scan.error.empty()) {
       m_reusable = false;
+      RecordStrayBytes();
       Finish(false, "the answer's head cannot be read");
       return false;
     }
@@ -413,12 +415,10 @@
   const std::string* echo = m_attempt.echo_header.empty()
                               ? nullptr
                               : FindHeader(head.headers, m_attempt.echo_header);
-  if (!m_attempt.echo.empty()) {
-    // Without the echoed id, later responses on this connection could not be
-    // matched to their requests.
-    m_reusable = m_reusable && echo != nullptr;
-    m_mismatched = echo != nullptr && *echo != m_attempt.echo;
-  }
+  // Without the echoed id, a second response to this request could not be told
+  // from that to a later one on this connection.
+  m_reusable = m_reusable && echo != nullptr;
+  m_mismatched = echo != nullptr && *echo != m_attempt.echo;
   if (m_mismatched) {
     m_reusable = false;
     return;
@@ -547,6 +547,14 @@
   }
 }
 
+/// Keeps the endpoint's connections from being reused for a while: it has sent
+/// bytes that are no response.
+void
+UpstreamTransfer::RecordStrayBytes()
+{
+  m_context.pool.ForbidReuse(m_connection->pool_key, Clock::now());
+}
+
 /// Returns the connection to the pool if it is reusable; closes it otherwise.
 /// @return True if it was returned to the pool.
 bool
@@ -555,9 +563,15 @@
   if (m_connection == nullptr) {
     return false;
   }
+  const bool strayBytes =
+    m_complete && m_parser->is_done() && m_connection->input.size() > 0;
+  if (strayBytes) {
+    RecordStrayBytes();
+  }
   const bool reusable = m_complete && m_reusable && m_requestComplete &&
                         !m_writing && m_parser->keep_alive() &&
                         m_connection->input.size() == 0;
+  bool kept = false;
   if (reusable) {
     const Duration maxIdleTime = m_context.options.proven_for;
     m_connection->last_used = Clock::now();
@@ -566,13 +580,13 @@
       std::min(maxIdleTime,
                ParseKeepAliveTimeout(m_head).value_or(maxIdleTime));
     m_connection->reused = true;
-    m_context.pool.Release(m_connection);
+    kept = m_context.pool.Release(m_connection);
   } else {
     Error ignored;
     m_connection->socket.close(ignored);
   }
   m_connection = nullptr;
-  return reusable;
+  return kept;
 }
 
 void
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -72,6 +72,7 @@
 
   /// Ends the attempt and reports its result; later calls have no effect.
   void Finish(bool aComplete, const std::string& aError);
+  void RecordStrayBytes();
   bool ReleaseConnection();
   void NotifyDone();
 
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -35,6 +35,8 @@
 constexpr int kFailed = 500;
 constexpr int kShed = 503;
 
+constexpr const char* kRequestHeader = "X-Sapphirelane-Request";
+
 /// What an endpoint does with real work.
 enum class Fault
 {
@@ -66,6 +68,7 @@
   MHD_Connection* connection = nullptr;
   std::string target;
   std::string idempotency;
+  std::string request; ///< Id that the daemon gave it.
   std::uint64_t body_hash = 0;
   std::uint64_t body_bytes = 0;
   std::uint64_t run = 0;
@@ -254,6 +257,9 @@
     const char* key = MHD_lookup_connection_value(
       aJob.connection, MHD_HEADER_KIND, "Idempotency-Key");
     aJob.idempotency = key == nullptr ? "" : key;
+    const char* request = MHD_lookup_connection_value(
+      aJob.connection, MHD_HEADER_KIND, kRequestHeader);
+    aJob.request = request == nullptr ? "" : request;
     if (MHD_lookup_connection_value(aJob.connection,
                                     MHD_HEADER_KIND,
                                     "X-Sapphirelane-Account") == nullptr) {
@@ -367,6 +373,7 @@
     MHD_Response* response = MHD_create_response_from_callback(
       body->text.size(), 4096, &Endpoint::OnRead, body, &Endpoint::FreeBody);
     MHD_add_response_header(response, "Content-Type", "application/json");
+    MHD_add_response_header(response, kRequestHeader, aJob.request.c_str());
     if (aJob.status == kShed) {
       MHD_add_response_header(response, "X-Sapphirelane-Shed", "not-run");
     }
