Keep to what endpoints say of themselves: leaving, Retry-After

An endpoint that leaves says so in all its answers, before the view of the store may show it; and one that rejects a request with 503 may say for how long it wants nothing from this host. Neither was read: in the new tests, on the code before, each such endpoint got the very next requests.

Change: EndpointNotices, a pure class with the load pattern that it answers. A leave holds for the lifetime of the endpoint that said so, whatever the view shows and whatever it answers later; an entry that lapses and returns with the same lifetime does not end it, a new lifetime does. A restart seen less than 2 s after the answer does not end it at once, as the answer may be the new process's. Without lifetimes (native fleets) it holds for 30 s. Hosts tell each other of leaves once (LeaveNews); a lost report costs nothing but the first answer. Retry-After holds for this host alone: no request, trial or hedge for that time, at most ten minutes. If every endpoint rests, requests that cannot wait are refused at once, and Retry-After says when the first one takes requests again; it was cut to a third of the caller's time before, which is not true. Malformed headers are ignored, counted and logged at most once a second. A trial no longer goes to an endpoint whose address another one has taken, and a 421 no longer counts as the load of the endpoint that was meant.

Ruled out: sharing Retry-After over the fleet. Sheds are shared as evidence as before.

--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -76,6 +76,14 @@
   std::vector<EndpointEvidence> endpoints;
 };
 
+/// @brief An endpoint has told some daemon that it leaves.
+struct LeaveReport
+{
+  std::string service;
+  std::string endpoint;
+  std::uint64_t lifetime = 0; ///< Of the process that said so; 0 if unknown.
+};
+
 /// @brief Version and source of a daemon's view of the endpoints.
 struct ViewState
 {
@@ -84,7 +92,8 @@
   std::string source;        ///< "store", or the daemon that refreshed it.
 };
 
-using ControlEvent = std::variant<TokenResult, ClaimResult, FleetEvidence>;
+using ControlEvent =
+  std::variant<TokenResult, ClaimResult, FleetEvidence, LeaveReport>;
 
 /// @brief Interface between the request path of a daemon and the control plane
 /// of the fleet.
@@ -146,6 +155,10 @@
   /// @brief Reports the start, progress or end of an attempt to the fleet.
   virtual void ShareWork(const WorkReport& /*aReport*/, TimePoint /*aNow*/) {}
 
+  /// @brief Tells the fleet that an endpoint has said that it leaves. The
+  /// other daemons get a LeaveReport, unless the message is lost.
+  virtual void ShareLeave(const LeaveReport& /*aReport*/, TimePoint /*aNow*/) {}
+
   /// @brief Records that a request of a service has ended.
   /// @param aServed The request got a successful answer.
   virtual void NoteOutcome(const std::string& /*aService*/,
--- a/include/sapphirelane/proxy/dialect.h
+++ b/include/sapphirelane/proxy/dialect.h
@@ -41,6 +41,9 @@
   std::string not_run = "X-Sapphirelane-Shed";
   std::string not_run_value = "not-run"; ///< Empty for any value.
   int not_run_status = 503;              ///< 0 for any status.
+  /// Header of an endpoint's response that says that it leaves.
+  std::string leaving = "X-Sapphirelane-Leaving";
+  std::string leaving_value = "1";
   /// Status of an endpoint that is not the intended one, so that the request
   /// did not run; 0 for none.
   int other_endpoint_status = 0;
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -12,6 +12,7 @@
 #include "sapphirelane/membership/fleet_control.h"
 #include "sapphirelane/routing/balancer.h"
 #include "sapphirelane/routing/ejector.h"
+#include "sapphirelane/routing/endpoint_notices.h"
 
 namespace sapphirelane {
 
@@ -33,6 +34,7 @@
 {
   std::string endpoint;
   std::string address;
+  std::uint64_t lifetime = 0;
   bool trial = false; ///< The attempt tests an ejected endpoint.
   /// Requests ahead of the attempt in the endpoint's queue, per slot.
   double queued_turns = 0;
@@ -90,7 +92,7 @@
                                  Random& aRandom);
 
   /// @brief Number of attempts that could be placed now.
-  std::size_t FreeSlots() const;
+  std::size_t FreeSlots(TimePoint aNow) const;
 
   /// @brief Records the start of an attempt.
   void Begin(const std::string& aEndpoint, TimePoint aNow);
@@ -101,9 +103,10 @@
   /// @brief Number of requests of this daemon at an endpoint.
   std::uint32_t InFlight(const std::string& aEndpoint) const;
 
-  /// @brief Expected queueing time of a request that is enqueued now.
+  /// @brief Expected queueing time of a request that is enqueued now; the
+  /// largest duration if no endpoint is known to take requests again.
   /// @param aWaiting Requests of this daemon that are queued already.
-  Duration ExpectedWait(std::size_t aWaiting) const;
+  Duration ExpectedWait(std::size_t aWaiting, TimePoint aNow) const;
 
   /// @brief Mean latency of the endpoints with a known one; 0 if there is none.
   Duration MeanLatency() const;
@@ -112,6 +115,23 @@
   /// gets no requests until its configuration entry changes.
   void NoteMoved(const std::string& aEndpoint);
 
+  /// @brief Records that an endpoint has said that it leaves, to this daemon or
+  /// another one. It gets no requests for the rest of its lifetime.
+  /// @param aLifetime Of the endpoint that said so; 0 if unknown.
+  /// @return False if that was known.
+  bool NoteLeaving(const std::string& aEndpoint,
+                   std::uint64_t aLifetime,
+                   TimePoint aNow);
+
+  /// @brief Records that an endpoint wants no requests of this daemon for a
+  /// time.
+  void NoteRetryAfter(const std::string& aEndpoint,
+                      Duration aTime,
+                      TimePoint aNow);
+
+  /// @brief Lifetime of an endpoint in the current view; 0 if unknown.
+  std::uint64_t LifetimeOf(const std::string& aEndpoint) const;
+
   /// @brief Records the load that an endpoint reported.
   void Report(const std::string& aEndpoint, double aLoad, TimePoint aNow);
 
@@ -181,7 +201,10 @@
   bool IsInOtherDataCentre(const EndpointState& aState) const;
   std::string IdleReason(const EndpointState& aState, TimePoint aNow) const;
   std::uint32_t FreeCapacity(const EndpointState& aState) const;
-  bool IsEligible(const EndpointState& aState) const;
+  bool IsInService(const EndpointState& aState, TimePoint aNow) const;
+  bool AcceptsRequests(const EndpointState& aState, TimePoint aNow) const;
+  bool IsEligible(const EndpointState& aState, TimePoint aNow) const;
+  Duration RestOfService(TimePoint aNow) const;
   Candidate MakeCandidate(const EndpointState& aState,
                           const PlaceRequest& aRequest,
                           TimePoint aNow) const;
@@ -203,6 +226,7 @@
   Duration m_meanLatency{ 0 };  ///< Over the endpoints, at the last placement.
   std::map<std::string, EndpointState> m_endpoints;
   bool m_hasBadEvidence = false;
+  EndpointNotices m_notices;
 };
 
 } // namespace sapphirelane
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -530,6 +530,20 @@
   }
 };
 
+/// @brief Tells that an endpoint has said that it leaves.
+struct LeaveNews
+{
+  bool spread = false; ///< The receiver sends it on in its data centre.
+  std::string endpoint;
+  std::uint64_t lifetime = 0; ///< Of the process that said so.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(spread, endpoint, lifetime);
+  }
+};
+
 /// @brief Every message that travels in one datagram.
 using PeerMessage = std::variant<Heartbeat,
                                  SuspectNews,
@@ -554,7 +568,8 @@
                                  Relay,
                                  PresenceNews,
                                  WorkNews,
-                                 ViewNews>;
+                                 ViewNews,
+                                 LeaveNews>;
 
 /// @brief Asks a peer for the newest head and what leads to it.
 struct FetchState
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -13,6 +13,7 @@
 #include "sapphirelane/proxy/request_gate.h"
 #include "sapphirelane/proxy/request_history.h"
 #include "sapphirelane/proxy/service_book.h"
+#include "sapphirelane/proxy/signal_handler.h"
 #include "sapphirelane/routing/retry_policy.h"
 
 namespace sapphirelane {
@@ -77,6 +78,7 @@
     , m_hedge(MakeRetryBudget(HedgeBudgetOptions()))
     , m_admission(m_options.limits, m_control)
     , m_services(m_options.limits, m_options.policies, m_control, m_metrics)
+    , m_signals(m_options.dialect, m_control, m_metrics)
   {
   }
 
@@ -320,6 +322,14 @@
     }
   }
 
+  void OnControl(const LeaveReport& aReport, TimePoint aNow)
+  {
+    ServiceEntry* service = m_services.Find(aReport.service);
+    if (service != nullptr) {
+      m_signals.OnReport(aReport, *service->state, aNow);
+    }
+  }
+
   void OnRepeatedClaim(std::uint64_t aId,
                        PendingRequest& aRequest,
                        const ClaimReply& aReply,
@@ -373,14 +383,15 @@
       return;
     }
     ServiceEntry& service = *found;
-    const Duration wait = service.state->ExpectedWait(service.queue->Size());
+    const Duration wait =
+      service.state->ExpectedWait(service.queue->Size(), aNow);
     if (wait > aRequest.deadline - aNow) {
       RefuseAdmitted(aId,
                      { 503,
                        Outcome::NotRun,
                        "overload",
                        "no slot of the service will be free in time",
-                       RetryAfter(wait, aRequest, aNow) },
+                       RetryAfter(wait) },
                      aNow);
       return;
     }
@@ -396,16 +407,13 @@
     }
   }
 
-  /// Retry-After of a refused request: the expected queueing time, at most a
-  /// third of the caller's remaining time.
-  static Milliseconds RetryAfter(Duration aWait,
-                                 const PendingRequest& aRequest,
-                                 TimePoint aNow)
+  /// Retry-After of a refused request: the expected queueing time.
+  static Milliseconds RetryAfter(Duration aWait)
   {
     constexpr Milliseconds kMinRetryAfter{ 50 };
-    constexpr int kTimeLeftDivisor = 3;
-    const Duration maxWait = (aRequest.deadline - aNow) / kTimeLeftDivisor;
-    return std::max(kMinRetryAfter, ToMilliseconds(std::min(aWait, maxWait)));
+    constexpr Milliseconds kMaxRetryAfter = std::chrono::minutes(1);
+    return std::clamp(
+      std::chrono::ceil<Milliseconds>(aWait), kMinRetryAfter, kMaxRetryAfter);
   }
 
   void LogIfWaiting(std::uint64_t aId, TimePoint aNow)
@@ -417,13 +425,14 @@
     }
     const ServiceEntry& service = m_services.At(pending->second.service);
     const std::size_t waiting = service.queue->Size();
-    LogDecision(aId,
-                "queue",
-                "The request waits for a slot.",
-                RequestFields(aId)
-                  .Add("waiting", std::uint64_t{ waiting })
-                  .Add("expected_ms", service.state->ExpectedWait(waiting))
-                  .Add(ViewFields(aNow)));
+    LogDecision(
+      aId,
+      "queue",
+      "The request waits for a slot.",
+      RequestFields(aId)
+        .Add("waiting", std::uint64_t{ waiting })
+        .Add("expected_ms", service.state->ExpectedWait(waiting, aNow))
+        .Add(ViewFields(aNow)));
   }
 
   /// Dequeues requests of a service while it has free slots.
@@ -435,7 +444,7 @@
     }
     ServiceEntry& service = *found;
     while (service.queue->Size() > 0 &&
-           service.state->FreeSlots() > service.reserved_slots) {
+           service.state->FreeSlots(aNow) > service.reserved_slots) {
       const auto next = service.queue->Pop(aNow);
       if (!next) {
         return;
@@ -599,13 +608,13 @@
                   .Add(ViewFields(aNow))
                   .Add("left_ms", aRequest.deadline - aNow));
     m_metrics.Count("attempts_total", { { "service", aRequest.service } });
-    m_upstreams.Start(MakeOrder(aRequest, attempt, placed->address, aNow));
+    m_upstreams.Start(MakeOrder(aRequest, attempt, *placed, aNow));
     return true;
   }
 
   AttemptOrder MakeOrder(const PendingRequest& aRequest,
                          const Attempt& aAttempt,
-                         const std::string& aAddress,
+                         const Placement& aPlacement,
                          TimePoint aNow) const
   {
     const RequestHead& head = aRequest.exchange->Head();
@@ -613,7 +622,8 @@
     order.id = aAttempt.id;
     order.exchange = aRequest.exchange;
     order.endpoint = aAttempt.endpoint;
-    order.address = aAddress;
+    order.address = aPlacement.address;
+    order.lifetime = aPlacement.lifetime;
     order.method = head.method;
     order.target = head.target;
     order.headers = aRequest.head.forward;
@@ -689,21 +699,14 @@
     attempt->head_received = true;
     ServiceState& state = *m_services.At(aRequest.service).state;
     const HttpDialect& dialect = m_options.dialect;
-    const std::string* load = FindHeader(aEvent.head.headers, dialect.load);
-    if (load != nullptr) {
-      const auto report = ParseLoad(*load, dialect.load_format);
-      if (report) {
-        state.Report(attempt->endpoint, report->Share(), aNow);
-      }
+    attempt->misdirected = dialect.other_endpoint_status != 0 &&
+                           aEvent.head.status == dialect.other_endpoint_status;
+    if (attempt->misdirected) {
+      state.NoteMoved(attempt->endpoint);
+    } else {
+      m_signals.Apply(aEvent.head, aRequest.service, *attempt, state, aNow);
     }
     if (SaysNotRun(aEvent.head, dialect)) {
-      const bool misdirected =
-        dialect.other_endpoint_status != 0 &&
-        aEvent.head.status == dialect.other_endpoint_status;
-      if (misdirected) {
-        state.NoteMoved(attempt->endpoint);
-        attempt->misdirected = true;
-      }
       OnShedResponse(aId, aRequest, *attempt, aEvent.head.status, aNow);
       return;
     }
@@ -837,13 +840,14 @@
       return;
     }
     const ServiceEntry& service = m_services.At(aRequest.service);
-    const Duration wait = service.state->ExpectedWait(service.queue->Size());
+    const Duration wait =
+      service.state->ExpectedWait(service.queue->Size(), aNow);
     RefuseAdmitted(aId,
                    { aRequest.may_have_run ? 502 : 503,
                      aRequest.may_have_run ? Outcome::Unknown : Outcome::NotRun,
                      "shed",
                      "the upstream is overloaded and did not run it",
-                     RetryAfter(wait, aRequest, aNow) },
+                     RetryAfter(wait) },
                    aNow);
   }
 
@@ -1312,6 +1316,7 @@
   TimePoint m_startedAt{}; ///< Time of the first tick or request.
   AdmissionController m_admission;
   ServiceTable m_services;
+  SignalHandler m_signals;
   std::unordered_map<std::uint64_t, PendingRequest> m_requests;
   std::unordered_map<std::uint64_t, std::uint64_t> m_requestsByAttempt;
   std::unordered_map<AskId, std::uint64_t> m_requestsByAsk;
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -113,6 +113,7 @@
     if (restarted || state.endpoint.address != endpoint.address) {
       state.address_taken = false;
     }
+    m_notices.OnListed(id, restarted, aNow);
     if (restarted) {
       m_ejector->Reset(id);
       state.latency = Duration(0);
@@ -128,6 +129,7 @@
       std::binary_search(ids.begin(), ids.end(), it->first);
     it = configured ? std::next(it) : m_endpoints.erase(it);
   }
+  m_notices.RemoveExpired(aNow);
   const std::size_t size =
     SubsetSize(ids.size(), aHosts, connections, m_options.pool * kPoolsPerHost);
   const auto subset = ChooseSubset(ids, aRank, size);
@@ -147,12 +149,30 @@
   return std::min(limit - std::min(limit, used), m_options.pool - own);
 }
 
+/// Whether an endpoint takes part in the service: neither the view nor the
+/// endpoint itself says that it leaves.
 bool
-ServiceState::IsEligible(const EndpointState& aState) const
+ServiceState::IsInService(const EndpointState& aState, TimePoint aNow) const
 {
-  return aState.in_subset && !aState.address_taken &&
-         FreeCapacity(aState) > 0 &&
-         aState.endpoint.state == LifeState::InService &&
+  return aState.endpoint.state == LifeState::InService &&
+         !aState.address_taken &&
+         !m_notices.IsLeaving(
+           aState.endpoint.id, aState.endpoint.lifetime, aNow);
+}
+
+/// Whether an endpoint in service wants requests of this host.
+bool
+ServiceState::AcceptsRequests(const EndpointState& aState, TimePoint aNow) const
+{
+  return IsInService(aState, aNow) &&
+         !m_notices.RestsUntil(aState.endpoint.id, aNow);
+}
+
+bool
+ServiceState::IsEligible(const EndpointState& aState, TimePoint aNow) const
+{
+  return aState.in_subset && FreeCapacity(aState) > 0 &&
+         AcceptsRequests(aState, aNow) &&
          !m_ejector->IsEjected(aState.endpoint.id);
 }
 
@@ -226,16 +246,18 @@
   std::vector<Candidate> avoided;
   for (auto& [id, state] : m_endpoints) {
     const bool getsTrial = aRequest.may_try && !state.trial_running &&
-                           state.in_subset &&
-                           state.endpoint.state == LifeState::InService &&
+                           state.in_subset && AcceptsRequests(state, aNow) &&
                            m_ejector->WantsTrial(id, aNow);
     if (getsTrial) {
       state.trial_running = true;
-      return Placement{
-        id, state.endpoint.address, true, 0, LogFields().Add("choice", "trial")
-      };
+      return Placement{ id,
+                        state.endpoint.address,
+                        state.endpoint.lifetime,
+                        true,
+                        0,
+                        LogFields().Add("choice", "trial") };
     }
-    if (!IsEligible(state)) {
+    if (!IsEligible(state, aNow)) {
       continue;
     }
     const bool alreadyTried =
@@ -263,8 +285,10 @@
     .Add("latency_ms", chosen.latency);
   const double slots = std::max(1U, chosen.slots);
   const double inFlight = chosen.in_flight + chosen.others_in_flight;
+  const Endpoint& endpoint = m_endpoints.at(chosen.id).endpoint;
   return Placement{ chosen.id,
-                    m_endpoints.at(chosen.id).endpoint.address,
+                    endpoint.address,
+                    endpoint.lifetime,
                     false,
                     std::max(0.0, inFlight + 1 - slots) / slots,
                     inputs };
@@ -298,8 +322,7 @@
                                Random& aRandom) const
 {
   const auto isCounted = [this, aNow](const EndpointState& aState) {
-    return aState.endpoint.state == LifeState::InService &&
-           !aState.address_taken &&
+    return AcceptsRequests(aState, aNow) &&
            aNow - aState.last_failed_at > kRecentFailureTime &&
            (m_receivesAllReports || !IsInOtherDataCentre(aState));
   };
@@ -333,12 +356,12 @@
 }
 
 std::size_t
-ServiceState::FreeSlots() const
+ServiceState::FreeSlots(TimePoint aNow) const
 {
   std::size_t free = 0;
   for (const auto& entry : m_endpoints) {
     const EndpointState& state = entry.second;
-    if (IsEligible(state)) {
+    if (IsEligible(state, aNow)) {
       free += FreeCapacity(state);
     }
   }
@@ -380,25 +403,40 @@
 }
 
 Duration
-ServiceState::ExpectedWait(std::size_t aWaiting) const
+ServiceState::ExpectedWait(std::size_t aWaiting, TimePoint aNow) const
 {
   double slots = 0;
   double ahead = static_cast<double>(aWaiting);
   for (const auto& entry : m_endpoints) {
     const EndpointState& state = entry.second;
-    if (state.endpoint.state == LifeState::InService && !state.address_taken) {
+    if (AcceptsRequests(state, aNow)) {
       slots += state.endpoint.slots;
       ahead += state.in_flight + state.others_in_flight;
     }
   }
   if (slots == 0) {
-    return Duration::max();
+    return RestOfService(aNow);
   }
   const double batches = std::max(0.0, ahead + 1 - slots) / slots;
   return std::chrono::duration_cast<Duration>(
     Seconds(batches * ToSeconds(MeanLatency())));
 }
 
+/// Time until the first endpoint in service wants requests again; the largest
+/// duration if there is none.
+Duration
+ServiceState::RestOfService(TimePoint aNow) const
+{
+  Duration rest = Duration::max();
+  for (const auto& [id, state] : m_endpoints) {
+    const auto until = m_notices.RestsUntil(id, aNow);
+    if (until && IsInService(state, aNow)) {
+      rest = std::min(rest, *until - aNow);
+    }
+  }
+  return rest;
+}
+
 Duration
 ServiceState::MeanLatency() const
 {
@@ -435,6 +473,29 @@
   }
 }
 
+bool
+ServiceState::NoteLeaving(const std::string& aEndpoint,
+                          std::uint64_t aLifetime,
+                          TimePoint aNow)
+{
+  return m_notices.RecordLeaving(aEndpoint, aLifetime, aNow);
+}
+
+void
+ServiceState::NoteRetryAfter(const std::string& aEndpoint,
+                             Duration aTime,
+                             TimePoint aNow)
+{
+  m_notices.RecordRetryAfter(aEndpoint, aTime, aNow);
+}
+
+std::uint64_t
+ServiceState::LifetimeOf(const std::string& aEndpoint) const
+{
+  auto found = m_endpoints.find(aEndpoint);
+  return found == m_endpoints.end() ? 0 : found->second.endpoint.lifetime;
+}
+
 void
 ServiceState::Report(const std::string& aEndpoint, double aLoad, TimePoint aNow)
 {
@@ -526,7 +587,8 @@
   std::vector<IdleEndpoint> idle;
   for (const auto& [id, state] : m_endpoints) {
     const bool isIdle = aNow - state.last_used_at > kIdleAfter;
-    if (isIdle && state.endpoint.state == LifeState::InService) {
+    const bool listed = state.endpoint.state == LifeState::InService;
+    if (isIdle && listed) {
       idle.push_back({ id, IdleReason(state, aNow) });
     }
   }
@@ -541,6 +603,12 @@
   if (aState.address_taken) {
     return "address-taken";
   }
+  if (!IsInService(aState, aNow)) {
+    return "leaving";
+  }
+  if (!AcceptsRequests(aState, aNow)) {
+    return "wants-no-requests";
+  }
   if (m_ejector->IsEjected(aState.endpoint.id)) {
     return "ejected";
   }
@@ -564,7 +632,7 @@
   for (const auto& [id, state] : m_endpoints) {
     judged.push_back({ id,
                        state.endpoint.slots,
-                       state.endpoint.state == LifeState::InService,
+                       IsInService(state, aNow),
                        aNow - state.in_service_since });
   }
   return m_ejector->Judge(judged, m_minHealthyPercent, aNow);
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -207,7 +207,7 @@
   busy.in_flight = 8;
   evidence.endpoints = { busy };
   m_state->ObserveFleet(evidence, m_now);
-  CHECK(m_state->FreeSlots() == 8);
+  CHECK(m_state->FreeSlots(m_now) == 8);
   for (int i = 0; i < 8; ++i) {
     REQUIRE(m_state->Place({}, m_now, m_random));
     m_state->Begin("e100", m_now);
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -544,6 +544,135 @@
   CHECK(Outcome(queued) == "not-run");
 }
 
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, answer says that its endpoint leaves, sends "
+                 "nothing new there although the view has it in service")
+{
+  auto plain = Send("POST", "/plain/1");
+  const std::string leaving = m_upstreams.started[0].endpoint;
+  Head(1, 200, { { "X-Sapphirelane-Leaving", "1" } });
+  End(1, true);
+  CHECK(Status(plain) == 200);
+  AdvanceTime(std::chrono::seconds(5));
+  for (int i = 0; i < 4; ++i) {
+    Send("GET", "/read/1");
+  }
+  REQUIRE(m_upstreams.started.size() == 5);
+  for (std::size_t i = 1; i < m_upstreams.started.size(); ++i) {
+    CHECK(m_upstreams.started[i].endpoint != leaving);
+  }
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, endpoint that has said that it leaves answers "
+                 "without it, still sends nothing new there")
+{
+  Send("POST", "/plain/1");
+  Send("POST", "/plain/2");
+  Send("POST", "/plain/3");
+  Send("POST", "/plain/4");
+  const std::string leaving = m_upstreams.started[0].endpoint;
+  Head(1, 200, { { "X-Sapphirelane-Leaving", "1" } });
+  End(1, true);
+  for (std::uint64_t attempt : { 2, 3, 4 }) {
+    Head(attempt, 200);
+    End(attempt, true);
+  }
+  for (int i = 0; i < 4; ++i) {
+    Send("GET", "/read/1");
+    CHECK(m_upstreams.started.back().endpoint != leaving);
+  }
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, shed answer with Retry-After, sends nothing to "
+                 "its endpoint for that time")
+{
+  const Headers shed = { { HttpDialect{}.not_run, "not-run" },
+                         { "Retry-After", "1.5" } };
+  Send("POST", "/plain/1");
+  const std::string resting = m_upstreams.started[0].endpoint;
+  Head(1, 503, shed);
+  End(1, false, true, "cancelled");
+  std::size_t before = m_upstreams.started.size();
+  for (int i = 0; i < 14; ++i) {
+    Send("GET", "/read/1");
+    const auto attempt = m_upstreams.started.size();
+    AdvanceTime(Milliseconds(100));
+    Head(attempt, 200);
+    End(attempt, true);
+  }
+  for (std::size_t i = before; i < m_upstreams.started.size(); ++i) {
+    CHECK(m_upstreams.started[i].endpoint != resting);
+  }
+  AdvanceTime(Milliseconds(200));
+  before = m_upstreams.started.size();
+  std::set<std::string> used;
+  for (int i = 0; i < 6; ++i) {
+    Send("GET", "/read/1");
+  }
+  for (std::size_t i = before; i < m_upstreams.started.size(); ++i) {
+    used.insert(m_upstreams.started[i].endpoint);
+  }
+  CHECK(used.count(resting) == 1);
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, all endpoints shed with Retry-After, refuses at "
+                 "once and says when one takes requests again")
+{
+  const Headers shed = { { HttpDialect{}.not_run, "not-run" },
+                         { "Retry-After", "3" } };
+  Send("POST", "/plain/1");
+  for (std::uint64_t attempt : { 1, 2, 3 }) {
+    Head(attempt, 503, shed);
+    End(attempt, false, true, "cancelled");
+  }
+  REQUIRE(m_upstreams.started.size() == 3);
+  AdvanceTime(Milliseconds(500));
+  const auto refused = Send("GET", "/read/1");
+  REQUIRE(Status(refused) == 503);
+  CHECK(Outcome(refused) == "not-run");
+  const std::string* retryAfter =
+    FindHeader(refused->CallerTakeHead()->headers, "Retry-After");
+  REQUIRE(retryAfter != nullptr);
+  CHECK(*retryAfter == "3"); // 2.5 s, in whole seconds.
+  AdvanceTime(Milliseconds(2600));
+  Send("GET", "/read/1");
+  CHECK(m_upstreams.started.size() == 4);
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, malformed statements of endpoints, are ignored "
+                 "and counted")
+{
+  Send("POST", "/plain/1");
+  Head(1, 200, { { "X-Sapphirelane-Leaving", "maybe" } });
+  End(1, true);
+  for (const char* time : { "soon", "-1", "nan", "", "1e400", "1;2" }) {
+    Send("POST", "/plain/1");
+    const auto attempt = m_upstreams.started.size();
+    Head(attempt,
+         503,
+         { { HttpDialect{}.not_run, "not-run" }, { "Retry-After", time } });
+    End(attempt, false, true, "cancelled");
+    const auto retry = m_upstreams.started.size();
+    Head(retry, 200);
+    End(retry, true);
+  }
+  const std::size_t before = m_upstreams.started.size();
+  std::set<std::string> used;
+  for (int i = 0; i < 6; ++i) {
+    Send("GET", "/read/1");
+  }
+  for (std::size_t i = before; i < m_upstreams.started.size(); ++i) {
+    used.insert(m_upstreams.started[i].endpoint);
+  }
+  CHECK(used.size() == 3);
+  const std::string metrics = m_metrics->Text();
+  CHECK(metrics.find("upstream_headers_malformed_total") != std::string::npos);
+}
+
 /// Session in the dialect of a platform whose callers set request ids and whose
 /// requests name the expected endpoint.
 class PlatformSessionFixture : public SessionFixture
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -34,6 +34,11 @@
 /// with the data centre and not with the fleet.
 constexpr std::size_t kLargeFleetDaemons = 48;
 
+/// Daemons of each other data centre that forward the report of an endpoint
+/// that leaves. It is sent once; a daemon that does not get it learns from the
+/// endpoint or the view.
+constexpr std::size_t kRelaysOfLeavesPerCentre = 2;
+
 /// Interval of attempts to write this daemon's entry to the store and to read
 /// the entries of the others.
 constexpr Milliseconds kAnnounceRetryInterval{ 1000 };
@@ -161,6 +166,15 @@
     m_load.RecordOutcome(aService, aServed, aNow);
   }
 
+  void ShareLeave(const LeaveReport& aReport, TimePoint aNow) override
+  {
+    LeaveNews update;
+    update.endpoint = aReport.endpoint;
+    update.lifetime = aReport.lifetime;
+    m_sender.SendToAll(
+      update, m_sender.PickRelays(kRelaysOfLeavesPerCentre, aNow), aNow);
+  }
+
   double Shortfall(const std::string& aService, TimePoint aNow) override
   {
     // Requests that were lost at failed daemons are counted by no daemon, so
@@ -418,6 +432,26 @@
     AddEvidence(m_load.OnUpdate(aUpdate, aNow));
   }
 
+  // Endpoints that leave.
+
+  void Handle(const std::string& /*aAddress*/,
+              const LeaveNews& aUpdate,
+              TimePoint aNow)
+  {
+    if (aUpdate.spread) {
+      m_sender.SendLocally(aUpdate, aNow);
+    }
+    const FleetConfig* config = m_view.Config();
+    if (config == nullptr) {
+      return;
+    }
+    auto found = config->endpoints.find(aUpdate.endpoint);
+    if (found != config->endpoints.end()) {
+      m_events.emplace_back(LeaveReport{
+        found->second.service, aUpdate.endpoint, aUpdate.lifetime });
+    }
+  }
+
   void AddEvidence(std::vector<FleetEvidence> aEvidence)
   {
     for (FleetEvidence& evidence : aEvidence) {
--- a/src/sapphirelane/relay/store_fleet_test.cpp
+++ b/src/sapphirelane/relay/store_fleet_test.cpp
@@ -83,6 +83,52 @@
   }) == 0);
 }
 
+/// Takes a daemon's events.
+/// @return Number of reports among them that e0 leaves.
+int
+TakeLeaveReports(StoreFleet& aFleet)
+{
+  int count = 0;
+  for (const ControlEvent& event : aFleet.TakeEvents()) {
+    const auto* report = std::get_if<LeaveReport>(&event);
+    const bool matches = report != nullptr && report->endpoint == "e0" &&
+                         report->service == "s" && report->lifetime == 7;
+    count += matches ? 1 : 0;
+  }
+  return count;
+}
+
+TEST_CASE("StoreFleet, endpoint tells one daemon that it leaves, every other "
+          "daemon hears of it within 50 ms")
+{
+  FleetWorld world(60, 3);
+  world.Advance(std::chrono::seconds(5));
+  world.CountWithout([](StoreFleet& aFleet) {
+    aFleet.TakeEvents();
+    return true;
+  });
+  world.At(0).ShareLeave({ "s", "e0", 7 }, world.Now());
+  world.Advance(Milliseconds(50));
+  CHECK(TakeLeaveReports(world.At(0)) == 0);
+  // Relays may forward it more than once.
+  CHECK(world.CountWithout([](StoreFleet& aFleet) {
+    return TakeLeaveReports(aFleet) > 0;
+  }) == 1);
+}
+
+TEST_CASE("StoreFleet, report that an unknown endpoint leaves, is ignored")
+{
+  FleetWorld world(6, 2);
+  world.Advance(std::chrono::seconds(5));
+  world.At(0).ShareLeave({ "s", "no-such", 7 }, world.Now());
+  world.Advance(Milliseconds(50));
+  for (int i = 0; i < world.Size(); ++i) {
+    for (const ControlEvent& event : world.At(i).TakeEvents()) {
+      CHECK_FALSE(std::holds_alternative<LeaveReport>(event));
+    }
+  }
+}
+
 TEST_CASE("StoreFleet, partitioned daemons, know that an endpoint leaves in "
           "time")
 {
