Order waiting requests by priority and by what they can still gain

Cause: the priority of accounts and routes was decoded and read by no decision; requests waited in order of arrival, so in an overload that lasts each of them started late, and those that could not be answered any more were held until their deadline passed and then got a 504.

Load pattern: more arrives than the service has slots for: a burst, or one account with many times its rate.

Change: PriorityQueue, a pure class, is the default queue. The account's priority goes before the route's; a priority that is served less than half as often as all requests goes first, so that none starves; accounts take turns; of an account, requests that can still meet their target go first. LatestStarts says from when on a request cannot meet its target or be answered at all; the second kind is refused at once, as not run, with Retry-After. A request waits only for those ahead of it.

Ruled out: strict priority, which starves; earliest deadline first, which serves everything late once the queue is too long.

--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -62,7 +62,7 @@
   std::string balancer = "two-choices";
   std::string ejector = "peer-comparison";
   std::string retry = "budget";
-  std::string queue = "fair";
+  std::string queue = "priority";
   std::string dialect = "sapphirelane"; ///< Of callers and upstreams.
   std::uint32_t pool = 8;  ///< Requests of this daemon at one endpoint.
   std::uint32_t ahead = 0; ///< Requests that may wait at an endpoint.
--- a/src/sapphirelane/admission/request_queue.cpp
+++ b/src/sapphirelane/admission/request_queue.cpp
@@ -15,7 +15,7 @@
 {
   auto firstExpired = std::stable_partition(
     aQueue.begin(), aQueue.end(), [aNow](const QueuedRequest& aRequest) {
-      return aRequest.deadline > aNow;
+      return std::min(aRequest.deadline, aRequest.start_for_deadline) > aNow;
     });
   aExpired.insert(aExpired.end(), firstExpired, aQueue.end());
   aQueue.erase(firstExpired, aQueue.end());
@@ -169,6 +169,12 @@
 const QueueRegistry::Registration kFair("fair", [](std::size_t aMaxWaiting) {
   return MakeFairQueue(aMaxWaiting);
 });
+const QueueRegistry::Registration kPriority("priority",
+                                            [](std::size_t aMaxWaiting) {
+                                              PriorityQueueOptions options;
+                                              options.max_waiting = aMaxWaiting;
+                                              return MakePriorityQueue(options);
+                                            });
 const QueueRegistry::Registration kFirstCome("first-come",
                                              [](std::size_t aMaxWaiting) {
                                                return MakeFirstComeQueue(
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "sapphirelane/admission/start_limits.h"
 #include "sapphirelane/base/hash.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/proxy/pending_request.h"
@@ -124,7 +125,8 @@
     AdmitEarlyRequests(aNow);
     ProcessControlEvents(aNow);
     CheckRequests(aNow);
-    for (const auto& entry : m_services.All()) {
+    for (auto& entry : m_services.All()) {
+      RefuseLate(entry.second, aNow);
       m_services.UpdateEjections(entry.first, aNow);
       m_services.LogIdleEndpoints(entry.first, aNow);
       ServeQueue(entry.first, aNow);
@@ -383,9 +385,10 @@
       return;
     }
     ServiceEntry& service = *found;
+    const QueuedRequest queued = MakeQueued(aId, aRequest, *service.state);
     const Duration wait =
-      service.state->ExpectedWait(service.queue->Size(), aNow);
-    if (wait > aRequest.deadline - aNow) {
+      service.state->ExpectedWait(service.queue->SizeAhead(queued), aNow);
+    if (wait > queued.start_for_deadline - aNow) {
       RefuseAdmitted(aId,
                      { 503,
                        Outcome::NotRun,
@@ -395,9 +398,7 @@
                      aNow);
       return;
     }
-    const std::string line =
-      aRequest.account.empty() ? "(open)" : aRequest.account;
-    if (!service.queue->Push({ aId, line, aRequest.deadline })) {
+    if (!service.queue->Push(queued)) {
       RefuseAdmitted(aId,
                      { 503,
                        Outcome::NotRun,
@@ -407,6 +408,40 @@
     }
   }
 
+  QueuedRequest MakeQueued(std::uint64_t aId,
+                           const PendingRequest& aRequest,
+                           const ServiceState& aState) const
+  {
+    QueuedRequest queued;
+    queued.id = aId;
+    queued.account = aRequest.account.empty() ? "(open)" : aRequest.account;
+    queued.deadline = aRequest.deadline;
+    queued.priority = aRequest.priority;
+    const StartLimits limits = LatestStarts({ aRequest.exchange->Head().arrived,
+                                              aRequest.route.target,
+                                              aRequest.deadline },
+                                            aState.MeanLatency());
+    queued.start_for_target = limits.for_target;
+    queued.start_for_deadline = limits.for_deadline;
+    return queued;
+  }
+
+  /// Refuses waiting requests that cannot be answered in time any more.
+  void RefuseLate(ServiceEntry& aService, TimePoint aNow)
+  {
+    for (const QueuedRequest& late : aService.queue->TakeLate(aNow)) {
+      const Duration wait =
+        aService.state->ExpectedWait(aService.queue->SizeAhead(late), aNow);
+      RefuseAdmitted(late.id,
+                     { 503,
+                       Outcome::NotRun,
+                       "overload",
+                       "no slot of the service became free in time",
+                       RetryAfter(wait) },
+                     aNow);
+    }
+  }
+
   /// Retry-After of a refused request: the expected queueing time.
   static Milliseconds RetryAfter(Duration aWait)
   {
--- a/src/sapphirelane/proxy/pending_request.h
+++ b/src/sapphirelane/proxy/pending_request.h
@@ -44,6 +44,7 @@
   std::string account; ///< Empty on a route without authentication.
   std::string service;
   Route route;
+  std::uint32_t priority = 0; ///< Of the account or the route; 0 is highest.
   RequestStage stage = RequestStage::AwaitingToken;
   TimePoint deadline{};
   AskId token_ask = 0;
--- a/src/sapphirelane/proxy/request_gate.cpp
+++ b/src/sapphirelane/proxy/request_gate.cpp
@@ -43,6 +43,7 @@
     return NotRun(404, "no-route", "no route matches");
   }
   aRequest.route = *route;
+  aRequest.priority = route->priority;
   aRequest.service = route->service;
   const Milliseconds timeout =
     std::min(route->timeout, head.deadline.value_or(route->timeout));
@@ -110,6 +111,11 @@
     return NotRun(403, "not-allowed", "the account may not call this route");
   }
   aRequest.account = key->account;
+  const auto& accounts = m_control.Config()->accounts;
+  const auto account = accounts.find(key->account);
+  if (account != accounts.end()) {
+    aRequest.priority = account->second.priority.value_or(aRequest.priority);
+  }
   return std::nullopt;
 }
 
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -673,6 +673,56 @@
   CHECK(metrics.find("upstream_headers_malformed_total") != std::string::npos);
 }
 
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, requests wait for a slot, serves the account's "
+                 "priority before the route's")
+{
+  m_control.config.accounts["a"].priority = 5;
+  m_control.config.accounts["b"] = { "b", 10, 20, 1 };
+  m_control.config.keys["l"] = { "l", "b", DigestOf("other key") };
+  m_control.config.routes["read"].priority = 0;
+  m_control.config.routes["plain"].priority = 3;
+  m_control.config.version = 2;
+  m_control.keys.Load(m_control.config);
+  for (int i = 0; i < 6; ++i) {
+    Send("GET", "/read/" + std::to_string(i));
+  }
+  Send("GET", "/read/low");
+  m_key = "other key";
+  Send("POST", "/plain/high");
+  REQUIRE(m_upstreams.started.size() == 6);
+  for (std::uint64_t attempt : { 1, 2 }) {
+    Head(attempt, 200);
+    End(attempt, true);
+  }
+  REQUIRE(m_upstreams.started.size() == 8);
+  CHECK(m_upstreams.started[6].target == "/plain/high");
+  CHECK(m_upstreams.started[7].target == "/read/low");
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, waiting request can no longer be answered in "
+                 "time, refuses it before its deadline and says when to return")
+{
+  for (int i = 0; i < 60; ++i) {
+    const auto attempt = m_upstreams.started.size() + 1;
+    Send("POST", "/plain/warm");
+    m_now += Milliseconds(400);
+    Head(attempt, 200);
+    End(attempt, true);
+  }
+  for (int i = 0; i < 6; ++i) {
+    Send("POST", "/plain/1");
+  }
+  auto queued = Send("GET", "/read/1", { { HttpDialect{}.deadline, "600" } });
+  AdvanceTime(Milliseconds(400));
+  CHECK(Status(queued) == 0);
+  AdvanceTime(Milliseconds(150));
+  REQUIRE(Status(queued) == 503);
+  CHECK(Outcome(queued) == "not-run");
+  CHECK(FindHeader(queued->CallerTakeHead()->headers, "Retry-After"));
+}
+
 /// Session in the dialect of a platform whose callers set request ids and whose
 /// requests name the expected endpoint.
 class PlatformSessionFixture : public SessionFixture
