Answer requests on connections that a stopping listener has just got

Cause: a planned stop closed the acceptor while connections waited in the kernel, which resets them, and closed connections that were just taken and whose first request was under way or unread. Their callers had sent requests and got no answer: one of the cases that other operators report.

Change: the listener takes the waiting connections before it closes the acceptor; a connection with unread input is not idle; a new one has 300 ms for its first request, which the stop waits for.

Ruled out: keeping idle kept connections open until the end of the drain time, which makes every stop last that long; a request that meets their close has not been read, and callers send it again.

Conclusion: the window that is left is between the last accept and the close of the acceptor.

--- a/include/sapphirelane/proxy/caller_front.h
+++ b/include/sapphirelane/proxy/caller_front.h
@@ -50,6 +50,9 @@
   LimitSettings limits;
   HttpDialect dialect;
   std::uint64_t first_request = 1; ///< Counts up from here.
+  /// How long a listener that stops waits for the first request of a
+  /// connection that is as young; allows for a few round trips.
+  Duration first_request_timeout = Milliseconds(300);
 };
 
 /// @param aOnRequest Accepts a new request, on the listener's thread; returns
--- a/src/sapphirelane/proxy/caller_front.cpp
+++ b/src/sapphirelane/proxy/caller_front.cpp
@@ -26,12 +26,13 @@
 constexpr Milliseconds kSessionCheckInterval{ 500 };
 
 SessionLimits
-MakeSessionLimits(const LimitSettings& aSettings)
+MakeSessionLimits(const CallerFrontOptions& aOptions)
 {
   SessionLimits limits;
-  limits.body_bytes = aSettings.body_bytes;
-  limits.buffer_bytes = aSettings.buffer_bytes;
-  limits.idle_timeout = aSettings.idle;
+  limits.body_bytes = aOptions.limits.body_bytes;
+  limits.buffer_bytes = aOptions.limits.buffer_bytes;
+  limits.idle_timeout = aOptions.limits.idle;
+  limits.first_request_timeout = aOptions.first_request_timeout;
   return limits;
 }
 
@@ -44,7 +45,7 @@
     , m_acceptor(m_io)
     , m_checkTimer(m_io)
   {
-    m_context.limits = MakeSessionLimits(m_options.limits);
+    m_context.limits = MakeSessionLimits(m_options);
     m_context.dialect = m_options.dialect;
     m_context.next_request_id = m_options.first_request;
     m_context.on_request = std::move(aOnRequest);
@@ -82,9 +83,11 @@
   {
     asio::post(m_io, [this] {
       m_context.close_after_response = true;
+      m_context.close_idle = true;
+      TakeWaitingConnections();
       StopAccepting();
       for (const auto& session : m_sessions) {
-        session->CloseIfIdle();
+        session->CloseIfIdle(Clock::now());
       }
     });
   }
@@ -92,7 +95,7 @@
   void SetLimits(const CallerLimits& aLimits) override
   {
     asio::post(m_io, [this, aLimits] {
-      SessionLimits limits = MakeSessionLimits(m_options.limits);
+      SessionLimits limits = MakeSessionLimits(m_options);
       if (aLimits.head_bytes > 0) {
         limits.head_bytes = aLimits.head_bytes;
       }
@@ -114,7 +117,7 @@
     // Only the listener's thread may read the count.
     std::promise<std::size_t> open;
     asio::post(
-      m_io, [this, &open] { open.set_value(m_context.unfinished_requests); });
+      m_io, [this, &open] { open.set_value(CountUnfinished(Clock::now())); });
     return open.get_future().get();
   }
 
@@ -166,16 +169,49 @@
       return;
     }
     if (!full) {
-      boost::system::error_code ignored;
-      aSocket.set_option(tcp::no_delay(true), ignored);
-      auto session =
-        std::make_shared<CallerSession>(std::move(aSocket), m_context);
-      m_sessions.insert(session);
-      session->Start(Clock::now());
+      StartSession(std::move(aSocket));
     }
     Accept();
   }
 
+  void StartSession(tcp::socket aSocket)
+  {
+    boost::system::error_code ignored;
+    aSocket.set_option(tcp::no_delay(true), ignored);
+    auto session =
+      std::make_shared<CallerSession>(std::move(aSocket), m_context);
+    m_sessions.insert(session);
+    session->Start(Clock::now());
+  }
+
+  /// Takes the connections that the kernel has accepted already; closing the
+  /// acceptor would reset them, and the callers may have sent requests.
+  void TakeWaitingConnections()
+  {
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error && m_sessions.size() < m_options.limits.connections) {
+      tcp::socket socket(m_io);
+      m_acceptor.accept(socket, error);
+      if (!error) {
+        StartSession(std::move(socket));
+      }
+    }
+  }
+
+  /// Requests without a complete response, and while the listener stops, new
+  /// connections whose first request may be under way.
+  std::size_t CountUnfinished(TimePoint aNow) const
+  {
+    std::size_t count = m_context.unfinished_requests;
+    for (const auto& session : m_sessions) {
+      const bool awaited =
+        m_context.close_idle && session->AwaitsFirstRequest(aNow);
+      count += awaited ? 1 : 0;
+    }
+    return count;
+  }
+
   void StopAccepting()
   {
     boost::system::error_code ignored;
--- a/src/sapphirelane/proxy/caller_front_test.cpp
+++ b/src/sapphirelane/proxy/caller_front_test.cpp
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <future>
 #include <thread>
+#include <vector>
 
 #include "sapphirelane/base/bounded_ring.h"
 #include "sapphirelane/proxy/loopback.h"
@@ -152,5 +154,90 @@
   CHECK(second->Head().target == "/2");
 }
 
+/// Listener whose thread the test can hold up in the handler of a request.
+class HeldListenerFixture : public ListenerFixture
+{
+protected:
+  HeldListenerFixture()
+  {
+    m_listener.reset();
+    CallerFrontOptions options;
+    options.port = static_cast<std::uint16_t>(
+      std::stoi(m_address.substr(m_address.rfind(':') + 1)));
+    options.first_request_timeout = std::chrono::minutes(1);
+    m_listener = MakeCallerFront(options, [this](ExchangePtr aExchange) {
+      if (aExchange->Head().target == "/hold") {
+        m_held.set_value();
+        m_release.get_future().wait();
+      }
+      return m_requests.TryPush(std::move(aExchange));
+    });
+  }
+
+  std::promise<void> m_held;
+  std::promise<void> m_release;
+};
+
+/// Guards against requests that are cut off at a planned stop: the kernel has
+/// accepted their connections, but the listener closes before it takes them.
+TEST_CASE_METHOD(HeldListenerFixture,
+                 "CallerListener, stops listening while connections wait to be "
+                 "taken, answers their requests")
+{
+  RawConnection holder = RawConnection::Connect(m_address);
+  holder.Write(Get("/hold"));
+  m_held.get_future().wait();
+  std::vector<RawConnection> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.push_back(RawConnection::Connect(m_address));
+    callers.back().Write(Get("/" + std::to_string(i)));
+  }
+  m_listener->StopListening();
+  m_release.set_value();
+  Answer(TakeRequest(), "held");
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    const auto exchange = m_requests.TakeOne(std::chrono::seconds(5));
+    REQUIRE(exchange);
+    Answer(*exchange, "own");
+  }
+  for (RawConnection& caller : callers) {
+    CHECK(caller.ReadUntil("own").find("200") != std::string::npos);
+  }
+}
+
+TEST_CASE_METHOD(HeldListenerFixture,
+                 "CallerListener, stops listening right after a caller has "
+                 "connected, waits for its first request and answers it")
+{
+  RawConnection caller = RawConnection::Connect(m_address);
+  RawConnection known = RawConnection::Connect(m_address);
+  known.Write(Get("/known"));
+  Answer(TakeRequest(), "known"); // Both connections are taken.
+  known.ReadUntil("known");
+  m_listener->StopListening();
+  while (m_listener->Open() > 1) {
+    std::this_thread::yield(); // The other response is not yet written.
+  }
+  CHECK(m_listener->Open() == 1);
+  caller.Write(Get("/1"));
+  const auto exchange = m_requests.TakeOne(std::chrono::seconds(5));
+  REQUIRE(exchange);
+  Answer(*exchange, "own");
+  CHECK(caller.ReadUntil("own").find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE_METHOD(ListenerFixture,
+                 "CallerListener, stops listening and a caller sends nothing, "
+                 "does not wait for it for long")
+{
+  RawConnection caller = RawConnection::Connect(m_address);
+  RawConnection known = RawConnection::Connect(m_address);
+  known.Write(Get("/known"));
+  Answer(TakeRequest(), "known");
+  m_listener->StopListening();
+  CHECK(caller.ReadUntil("never").empty()); // It was closed.
+  CHECK(m_listener->Open() == 0);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -77,6 +77,7 @@
 void
 CallerSession::Start(TimePoint aNow)
 {
+  m_startedAt = aNow;
   m_lastActive = aNow;
   Read();
 }
@@ -87,6 +88,9 @@
   if (!m_open) {
     return;
   }
+  if (m_context.close_idle) {
+    CloseIfIdle(aNow);
+  }
   const SessionLimits& limits = m_context.limits;
   if (m_headIncomplete && aNow - m_headStarted > limits.head_timeout) {
     RejectInput(408, "the head did not come in time");
@@ -101,13 +105,27 @@
 }
 
 void
-CallerSession::CloseIfIdle()
+CallerSession::CloseIfIdle(TimePoint aNow)
 {
-  if (m_open && m_pipeline.empty() && !m_receiving && !m_headIncomplete) {
+  const bool idle = m_open && !m_lingering && m_pipeline.empty() &&
+                    !m_receiving && !m_headIncomplete;
+  if (!idle || AwaitsFirstRequest(aNow)) {
+    return;
+  }
+  boost::system::error_code error;
+  const bool hasUnreadInput = m_socket.available(error) > 0;
+  if (!hasUnreadInput) {
     ShutdownGracefully();
   }
 }
 
+bool
+CallerSession::AwaitsFirstRequest(TimePoint aNow) const
+{
+  return m_open && !m_hadRequest && !m_lingering &&
+         aNow - m_startedAt < m_context.limits.first_request_timeout;
+}
+
 void
 CallerSession::Abort()
 {
@@ -255,6 +273,7 @@
 CallerSession::PipelinedRequestPtr
 CallerSession::AddToPipeline(RequestHead aHead)
 {
+  m_hadRequest = true;
   aHead.id = m_context.next_request_id++;
   aHead.arrived = Clock::now();
   auto request = std::make_shared<PipelinedRequest>();
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -24,6 +24,9 @@
   std::size_t buffer_bytes = 256ULL << 10U;    ///< For each direction.
   Duration head_timeout = Milliseconds(10000); ///< From the head's first byte.
   Duration idle_timeout = Milliseconds(30000); ///< Without a pending request.
+  /// For the first request of a new connection to arrive, once the listener
+  /// stops.
+  Duration first_request_timeout{ 0 };
 };
 
 /// @brief State of the listener that its sessions share.
@@ -33,6 +36,7 @@
   HttpDialect dialect;
   std::uint64_t next_request_id = 1;
   bool close_after_response = false;   ///< Send "Connection: close".
+  bool close_idle = false;             ///< Close idle connections.
   std::size_t unfinished_requests = 0; ///< Not yet fully answered.
   std::function<bool(ExchangePtr)> on_request;
 };
@@ -54,8 +58,12 @@
   /// @brief Rejects a head that is overdue, and closes an idle connection.
   void CheckTimeouts(TimePoint aNow);
 
-  /// @brief Closes the connection if no request is pending.
-  void CloseIfIdle();
+  /// @brief Closes the connection if no request is pending and none can be
+  /// under way: a new connection is given some time for its first request.
+  void CloseIfIdle(TimePoint aNow);
+
+  /// @brief Whether the first request of a new connection is awaited.
+  bool AwaitsFirstRequest(TimePoint aNow) const;
 
   /// @brief Closes the connection at once, with any response incomplete.
   void Abort();
@@ -114,6 +122,8 @@
   std::uint64_t m_receivedBytes = 0;
   std::deque<PipelinedRequestPtr> m_pipeline;
   std::string m_output;
+  TimePoint m_startedAt{};
+  bool m_hadRequest = false;
   TimePoint m_lastActive{};
   TimePoint m_headStarted{};
   bool m_headIncomplete = false; ///< Part of a head was received.
