Test that a restarted daemon that asks an old view catches up in time

Cause: other operators report that a server that had left, or a key that had been withdrawn, was in use again after a restart. Here a daemon that starts while the store refuses it fetches the view of a random peer, which may itself have been cut off.

Tried: FleetWorld restarts a daemon, with each other one in turn holding a view that is 8 s old.

--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -43,17 +43,10 @@
       SetEndpoint("e" + std::to_string(i), LifeState::InService);
     }
     for (int i = 0; i < aDaemons; ++i) {
-      auto daemon = std::make_unique<Daemon>(*this, i);
-      StoreFleetOptions options;
-      options.self = { static_cast<NodeId>(i + 1),
-                       "host-" + std::to_string(i),
-                       "centre-" + std::to_string(i % aCentres),
-                       Address(i) };
-      options.started_ms = 1;
-      options.seed = options.self.id;
-      daemon->fleet = MakeStoreFleet(options, *daemon);
-      m_daemons.push_back(std::move(daemon));
+      m_daemons.push_back(std::make_unique<Daemon>(*this, i));
+      StartDaemon(*m_daemons.back(), aCentres);
     }
+    m_centres = aCentres;
   }
 
   ~FleetWorld() { SetLogSink(nullptr); }
@@ -146,6 +139,15 @@
     }
   }
 
+  /// Replaces a daemon by a new run on the same host, which knows nothing.
+  void Restart(int aDaemon)
+  {
+    Daemon& daemon = *m_daemons[Index(aDaemon)];
+    ++daemon.run;
+    daemon.killed = false;
+    StartDaemon(daemon, m_centres);
+  }
+
   void Kill(int aDaemon) { m_daemons[Index(aDaemon)]->killed = true; }
   void Partition(int aDaemon) { m_daemons[Index(aDaemon)]->partitioned = true; }
   void Heal(int aDaemon) { m_daemons[Index(aDaemon)]->partitioned = false; }
@@ -203,12 +205,28 @@
 
     FleetWorld& world;
     int number;
+    std::uint64_t run = 0;
     std::unique_ptr<StoreFleet> fleet;
     bool killed = false;
     bool partitioned = false;
     bool refused = false;
   };
 
+  static void StartDaemon(Daemon& aDaemon, int aCentres)
+  {
+    constexpr NodeId kMaxDaemons = 1000000;
+    const auto number = static_cast<NodeId>(aDaemon.number);
+    StoreFleetOptions options;
+    options.self = { number + 1 + aDaemon.run * kMaxDaemons,
+                     "host-" + std::to_string(aDaemon.number),
+                     "centre-" + std::to_string(aDaemon.number % aCentres),
+                     Address(aDaemon.number) };
+    options.started_ms = 1 + aDaemon.run;
+    options.seed = options.self.id;
+    options.seeds = { Address(0), Address(1), Address(2) };
+    aDaemon.fleet = MakeStoreFleet(options, aDaemon);
+  }
+
   using State = std::optional<LifeState>; ///< Empty if there is no entry.
   using StateHistory = std::vector<std::pair<TimePoint, State>>;
 
@@ -402,6 +420,7 @@
   std::map<std::string, StateHistory> m_history;
   FleetFaults m_faults;
   std::mt19937_64 m_random{ 1 };
+  int m_centres = 1;
   int m_calls = 0;
   int m_bulkCalls = 0;
   int m_lastReader = 0;
--- a/src/sapphirelane/relay/store_fleet_test.cpp
+++ b/src/sapphirelane/relay/store_fleet_test.cpp
@@ -129,6 +129,33 @@
   }
 }
 
+/// Guards against an endpoint that has left, or a key that was withdrawn, in
+/// use again after a restart: the new daemon knows nothing, is refused by the
+/// store, and may ask a peer whose view is old.
+TEST_CASE("StoreFleet, daemon restarts and the store refuses it while a peer's "
+          "view is old, knows what has changed in time")
+{
+  for (int peer = 0; peer < 16; ++peer) {
+    INFO("old view at daemon " << peer);
+    const int restarted = peer == 5 ? 6 : 5;
+    FleetWorld world(16, 3);
+    world.Advance(std::chrono::seconds(5));
+    world.Partition(peer);
+    world.SetEndpoint("e0", LifeState::Leaving);
+    world.SetConfig(2);
+    world.Advance(std::chrono::seconds(8));
+    world.Kill(restarted);
+    world.Refuse(restarted);
+    world.Advance(Milliseconds(200));
+    world.Refuse(peer); // It can learn from the others only.
+    world.Heal(peer);
+    world.Restart(restarted);
+    world.Advance(kUpdateTimeLimit);
+    CHECK(world.CountWithout(KnowsThatEndpointLeaves) == 0);
+    CHECK(world.At(restarted).Config()->version == 2);
+  }
+}
+
 TEST_CASE("StoreFleet, partitioned daemons, know that an endpoint leaves in "
           "time")
 {
