Scan peers and endpoints less often, and subsets in order

Cause: each tick of 10 ms scanned all peers four times and all endpoints of the view once, each heartbeat's list was looked up by host name, the subset of a service was searched for each endpoint, and ejections were judged each 50 ms whatever the number of endpoints. Under perf the simulated fleet of 444 spent 40% in heartbeat lists and 25% in scans.

Change: scans only when something is due; lists by hash; the subset is sorted; judgements of a service with many endpoints are less frequent in proportion; gauges each 200 ms; sums each 250 ms unless urgent; about 16 observers an endpoint.

--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -165,6 +165,9 @@
 
   bool IsEjected(const std::string& aEndpoint) const;
 
+  /// @brief Number of endpoints in the configuration.
+  std::size_t Size() const { return m_endpoints.size(); }
+
   /// @brief Number of ejected endpoints.
   std::size_t Ejected() const;
 
--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -143,6 +143,8 @@
   TimePoint m_contactAt{}; ///< Latest time at which any daemon read the store.
   TimePoint m_recoveredAt{};                ///< End of the store's last outage.
   std::vector<EndpointChange> m_departures; ///< Not taken yet.
+  /// Earliest time at which a removed endpoint's hold time may end.
+  TimePoint m_nextRemoval = TimePoint::max();
 };
 
 } // namespace sapphirelane
--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -84,6 +84,9 @@
   /// PeerTableOptions::forget_after.
   void Tick(TimePoint aNow);
 
+  /// @brief Whether another daemon of this data centre is live.
+  bool HasNeighbours(TimePoint aNow) const;
+
   /// @brief Addresses of the live daemons of this data centre.
   std::vector<std::string> Neighbours(TimePoint aNow) const;
 
@@ -166,8 +169,9 @@
   struct Peer
   {
     MemberInfo info;
-    std::uint32_t hash = 0; ///< Of the host.
-    bool local = false;     ///< In this data centre.
+    std::uint32_t hash = 0;   ///< Of the host.
+    std::uint32_t centre = 0; ///< Hash of the data centre.
+    bool local = false;       ///< In this data centre.
     std::uint64_t started_ms = 0;
     /// Latest sign of life: its own heartbeat, or that of a daemon of its data
     /// centre which lists it as live.
@@ -187,10 +191,11 @@
   PeerBookOptions m_options;
   MemberInfo m_self;
   TimePoint m_heardAt{}; ///< Latest heartbeat of any daemon.
+  TimePoint m_nextCleanup{};
   std::uint32_t m_selfHash;
   std::map<std::string, Peer> m_peers;        ///< By host.
   std::map<NodeId, std::string> m_hostByNode; ///< By run of a daemon.
-  std::unordered_map<std::uint32_t, std::string> m_hostByHash;
+  std::unordered_map<std::uint32_t, Peer*> m_peerByHash; ///< By host's hash.
   std::vector<std::string> m_seeds;
 };
 
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -38,6 +38,8 @@
 /// Time after the deadline for an endpoint's own timeout response to arrive.
 constexpr Milliseconds kDeadlineAnswerGrace{ 30 };
 
+constexpr Milliseconds kGaugeInterval{ 200 };
+
 constexpr int kMinServerErrorStatus = 500;
 
 /// Maximum placements of one request, including on unreachable endpoints.
@@ -131,8 +133,11 @@
       m_services.LogIdleEndpoints(entry.first, aNow);
       ServeQueue(entry.first, aNow);
     }
-    m_metrics.Set(
-      "requests_in_flight", {}, static_cast<double>(m_requests.size()));
+    if (aNow >= m_nextGauge) {
+      m_nextGauge = aNow + kGaugeInterval;
+      m_metrics.Set(
+        "requests_in_flight", {}, static_cast<double>(m_requests.size()));
+    }
   }
 
   void Drain() override { m_admission.StartDraining(); }
@@ -1349,6 +1354,7 @@
   std::unique_ptr<RetryPolicy> m_hedge;
   std::deque<ExchangePtr> m_earlyRequests; ///< Await the configuration.
   TimePoint m_startedAt{}; ///< Time of the first tick or request.
+  TimePoint m_nextGauge{};
   AdmissionController m_admission;
   ServiceTable m_services;
   SignalHandler m_signals;
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -12,6 +12,17 @@
 /// endpoints. Failure probabilities also change in between, with each result.
 constexpr Milliseconds kEjectionUpdateInterval{ 50 };
 
+/// Endpoints above which updates are made less often, as each scans all of
+/// them.
+constexpr std::size_t kMaxEndpointsForInterval = 64;
+
+Duration
+EjectionUpdateInterval(std::size_t aEndpoints)
+{
+  const std::size_t factor = 1 + aEndpoints / kMaxEndpointsForInterval;
+  return kEjectionUpdateInterval * static_cast<int>(factor);
+}
+
 /// Interval between reports of failure evidence about a service.
 constexpr Milliseconds kEvidenceShareInterval{ 250 };
 
@@ -135,7 +146,8 @@
 ServiceTable::UpdateEjections(const std::string& aName, TimePoint aNow)
 {
   ServiceEntry& service = m_services.at(aName);
-  if (aNow - service.last_ejection_update < kEjectionUpdateInterval) {
+  if (aNow - service.last_ejection_update <
+      EjectionUpdateInterval(service.state->Size())) {
     return;
   }
   service.last_ejection_update = aNow;
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -136,10 +136,10 @@
   m_notices.RemoveExpired(aNow);
   const std::size_t size =
     SubsetSize(ids.size(), aHosts, connections, m_options.pool * kPoolsPerHost);
-  const auto subset = ChooseSubset(ids, aRank, size);
+  auto subset = ChooseSubset(ids, aRank, size);
+  std::sort(subset.begin(), subset.end());
   for (auto& [id, state] : m_endpoints) {
-    state.in_subset =
-      std::find(subset.begin(), subset.end(), id) != subset.end();
+    state.in_subset = std::binary_search(subset.begin(), subset.end(), id);
   }
 }
 
--- a/src/sapphirelane/relay/counter_exchange.cpp
+++ b/src/sapphirelane/relay/counter_exchange.cpp
@@ -9,7 +9,7 @@
 
 /// Interval of sums; the shorter one if much of an account's burst was spent
 /// since the last ones.
-constexpr Milliseconds kSumsInterval{ 100 };
+constexpr Milliseconds kSumsInterval{ 250 };
 constexpr Milliseconds kUrgentSumsInterval{ 20 };
 constexpr double kUrgentBurstShare = 0.05;
 constexpr double kMinUrgentTokens = 4;
@@ -20,6 +20,10 @@
 constexpr Milliseconds kMinReportInterval{ 20 };
 constexpr Milliseconds kMaxReportInterval{ 200 };
 
+/// Interval at which a daemon checks whether it is to add up, which takes a
+/// scan of all peers.
+constexpr Milliseconds kRankCheckInterval{ 100 };
+
 /// Daemons that get the reports: the one that adds up, and the one that takes
 /// over from it.
 constexpr std::size_t kReportTargets = 2;
@@ -124,7 +128,11 @@
 void
 CounterExchange::SendSums(TimePoint aNow)
 {
-  if (m_peers.NeighbourOrder(aNow) != 0) {
+  if (m_isFirst || aNow >= m_nextRankCheck) {
+    m_nextRankCheck = aNow + kRankCheckInterval;
+    m_isFirst = m_peers.NeighbourOrder(aNow) == 0;
+  }
+  if (!m_isFirst) {
     m_addsUp = false;
     return;
   }
--- a/src/sapphirelane/relay/counter_exchange.h
+++ b/src/sapphirelane/relay/counter_exchange.h
@@ -107,6 +107,8 @@
   const PeerBook& m_peers;
   const UpdateSender& m_sender;
   CounterSink& m_sink;
+  TimePoint m_nextRankCheck{};
+  bool m_isFirst = false; ///< In the order of the data centre.
   TimePoint m_lastReport{};
   TimePoint m_lastSums{};
   std::map<NodeId, ReceivedCounters> m_reports; ///< By daemon.
--- a/src/sapphirelane/relay/discovery.cpp
+++ b/src/sapphirelane/relay/discovery.cpp
@@ -21,6 +21,10 @@
 /// who is listed.
 constexpr Milliseconds kOrderTime{ 3000 };
 
+/// Interval at which it is checked whether a call is due, which takes a scan of
+/// all peers.
+constexpr Milliseconds kCheckInterval{ 100 };
+
 /// Interval of store calls, and the random time added to it: a store that
 /// refuses some of many calls at once must not get them all again at once.
 constexpr Milliseconds kCallInterval{ 1000 };
@@ -58,11 +62,15 @@
 void
 Discovery::Tick(Duration aUptime, TimePoint aNow)
 {
+  if (aUptime < m_storeDelay || aNow < m_nextCheck) {
+    return;
+  }
+  m_nextCheck = aNow + kCheckInterval;
   const bool alone = HearsNobody(aNow);
   const bool entryDue = IsEntryDue(aUptime, aNow);
   const bool listDue = alone || !m_hostsRead;
   m_hostsRead = m_hostsRead || (m_hasSeeds && !alone);
-  if (aUptime < m_storeDelay || aNow < m_nextCall || !(entryDue || listDue)) {
+  if (aNow < m_nextCall || !(entryDue || listDue)) {
     return;
   }
   std::uniform_int_distribution<int> jitterMs(0, kCallJitterMs);
@@ -143,7 +151,7 @@
   }
   MembersAsk ask;
   ask.hosts = m_peers.UnknownHosts(aUpdate.neighbours, kMaxAskedHosts);
-  ask.data_centre = m_peers.Neighbours(aNow).empty() ? m_self.data_centre : "";
+  ask.data_centre = m_peers.HasNeighbours(aNow) ? "" : m_self.data_centre;
   if (!ask.hosts.empty() || !ask.data_centre.empty()) {
     ++m_asks;
     m_env.Send({ aAddress }, ask);
--- a/src/sapphirelane/relay/discovery.h
+++ b/src/sapphirelane/relay/discovery.h
@@ -62,6 +62,7 @@
   PeerBook& m_peers;
   Random& m_random;
   Duration m_storeDelay; ///< Uptime from which the store is used.
+  TimePoint m_nextCheck{};
   TimePoint m_nextCall{};
   TimePoint m_nextAskInterval{};
   int m_asks = 0; ///< In this interval.
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -227,6 +227,7 @@
     m_recoveredAt != TimePoint{} && aNow - m_recoveredAt < m_options.hold_gone;
   if (aEntry.endpoint && recovering && !leaving) {
     aEntry.remove_at = m_recoveredAt + m_options.hold_gone;
+    m_nextRemoval = std::min(m_nextRemoval, *aEntry.remove_at);
     UpdateDigest(aId, aEntry, aNow);
     return false;
   }
@@ -266,6 +267,10 @@
 void
 FleetView::Tick(TimePoint aNow)
 {
+  if (aNow < m_nextRemoval) {
+    return;
+  }
+  m_nextRemoval = TimePoint::max();
   bool changed = false;
   for (auto& item : m_entries) {
     Entry& entry = item.second;
@@ -273,6 +278,8 @@
       entry.remove_at.reset();
       entry.endpoint.reset();
       changed = true;
+    } else if (entry.remove_at) {
+      m_nextRemoval = std::min(m_nextRemoval, *entry.remove_at);
     }
   }
   if (changed) {
--- a/src/sapphirelane/relay/observer_map.h
+++ b/src/sapphirelane/relay/observer_map.h
@@ -13,9 +13,9 @@
 struct ObserverMapOptions
 {
   /// Daemons on average that receive the load reports of one endpoint.
-  std::size_t observers = 20;
+  std::size_t observers = 16;
   /// Endpoints of a service that each daemon observes at least, if it has them.
-  std::size_t min_endpoints = 8;
+  std::size_t min_endpoints = 6;
 };
 
 /// @brief Assigns the endpoints of a data centre to the daemons there that
--- a/src/sapphirelane/relay/peer_book.cpp
+++ b/src/sapphirelane/relay/peer_book.cpp
@@ -13,6 +13,8 @@
 /// Unit of the ages in PresenceNews.
 constexpr Duration kPresenceAgeUnit = Milliseconds(100);
 
+constexpr std::chrono::seconds kCleanupInterval{ 1 };
+
 } // namespace
 
 std::uint32_t
@@ -43,9 +45,10 @@
   peer.hash = ShortHash(aEntry.host);
   peer.info.data_centre = aEntry.data_centre;
   peer.info.address = aEntry.address;
+  peer.centre = ShortHash(aEntry.data_centre);
   peer.local = aEntry.data_centre == m_self.data_centre;
   peer.listed_at = aNow;
-  m_hostByHash[peer.hash] = aEntry.host;
+  m_peerByHash[peer.hash] = &peer;
 }
 
 void
@@ -65,7 +68,7 @@
 {
   std::vector<std::uint32_t> unknown;
   for (std::uint32_t hash : aHashes) {
-    const bool known = hash == m_selfHash || m_hostByHash.count(hash) == 1;
+    const bool known = hash == m_selfHash || m_peerByHash.count(hash) == 1;
     if (!known && unknown.size() < aMost) {
       unknown.push_back(hash);
     }
@@ -88,11 +91,9 @@
     }
   };
   for (std::uint32_t hash : aHashes) {
-    auto host = m_hostByHash.find(hash);
-    auto peer =
-      host == m_hostByHash.end() ? m_peers.end() : m_peers.find(host->second);
-    if (peer != m_peers.end()) {
-      add(peer->second);
+    auto found = m_peerByHash.find(hash);
+    if (found != m_peerByHash.end()) {
+      add(*found->second);
     }
   }
   for (const auto& entry : m_peers) {
@@ -157,12 +158,13 @@
   }
   peer.info = aNews.self;
   peer.hash = ShortHash(aNews.self.host);
+  peer.centre = ShortHash(aNews.self.data_centre);
   peer.local = aNews.self.data_centre == m_self.data_centre;
   peer.started_ms = aNews.started_ms;
   peer.leaving = aNews.leaving;
   peer.last_seen = aNow;
   m_hostByNode[peer.info.id] = peer.info.host;
-  m_hostByHash[peer.hash] = peer.info.host;
+  m_peerByHash[peer.hash] = &peer;
   peer.gossiped = aNews.neighbours.size() > m_options.full_mesh;
   ApplyList(aNews, aNow);
   return isNew;
@@ -178,33 +180,33 @@
   if (local && !gossiped) {
     return;
   }
-  for (std::size_t i = 0; i < aNews.neighbours.size(); ++i) {
-    auto host = m_hostByHash.find(aNews.neighbours[i]);
-    if (host == m_hostByHash.end() || i >= aNews.ages.size()) {
+  const std::uint32_t centre = ShortHash(aNews.self.data_centre);
+  const std::size_t size = std::min(aNews.neighbours.size(), aNews.ages.size());
+  for (std::size_t i = 0; i < size; ++i) {
+    auto found = m_peerByHash.find(aNews.neighbours[i]);
+    if (found == m_peerByHash.end() || found->second->centre != centre) {
       continue;
     }
-    auto found = m_peers.find(host->second);
-    const bool matches =
-      found != m_peers.end() &&
-      found->second.info.data_centre == aNews.self.data_centre;
-    if (matches) {
-      Peer& peer = found->second;
-      peer.last_seen =
-        std::max(peer.last_seen, aNow - aNews.ages[i] * kPresenceAgeUnit);
-      peer.gossiped = gossiped;
-    }
+    Peer& peer = *found->second;
+    peer.last_seen =
+      std::max(peer.last_seen, aNow - aNews.ages[i] * kPresenceAgeUnit);
+    peer.gossiped = gossiped;
   }
 }
 
 void
 PeerBook::Tick(TimePoint aNow)
 {
+  if (aNow < m_nextCleanup) {
+    return;
+  }
+  m_nextCleanup = aNow + kCleanupInterval;
   for (auto it = m_peers.begin(); it != m_peers.end();) {
     const Peer& peer = it->second;
     const TimePoint last = std::max(peer.last_seen, peer.listed_at);
     if (aNow - last > m_options.forgotten_after) {
       m_hostByNode.erase(peer.info.id);
-      m_hostByHash.erase(peer.hash);
+      m_peerByHash.erase(peer.hash);
       it = m_peers.erase(it);
     } else {
       ++it;
@@ -242,6 +244,14 @@
          aNow - peer->second.last_seen <= LiveFor(peer->second);
 }
 
+bool
+PeerBook::HasNeighbours(TimePoint aNow) const
+{
+  return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+    return aEntry.second.local && IsLive(aEntry.second, aNow);
+  });
+}
+
 std::vector<std::string>
 PeerBook::Neighbours(TimePoint aNow) const
 {
--- a/src/sapphirelane/relay/view_keeper.cpp
+++ b/src/sapphirelane/relay/view_keeper.cpp
@@ -148,8 +148,11 @@
 void
 ViewReplica::ReadStore(TimePoint aNow)
 {
-  const std::size_t rank = m_peers.Order(aNow);
-  const bool due = m_pacer.IsDue(m_view.Age(aNow), rank, m_readDuration, aNow);
+  // The rank takes a scan of all peers, so the view's age is checked first.
+  const Duration age = m_view.Age(aNow);
+  const bool due =
+    m_pacer.IsDue(age, 0, m_readDuration, aNow) &&
+    m_pacer.IsDue(age, m_peers.Order(aNow), m_readDuration, aNow);
   if (due) {
     // The configuration is read first. Reading the endpoints is what refreshes
     // the view and makes other daemons skip their read, so it must imply that
