--- a/cmake/sapphirelane.cmake
+++ b/cmake/sapphirelane.cmake
@@ -26,7 +26,7 @@
       sapphirelane_${name} Catch2::Catch2 rapidcheck)
     set_property(TARGET sapphirelane_${name}_test PROPERTY
       LINK_LIBRARY_OVERRIDE ${SAPPHIRELANE_PLUGIN_MODULES})
-    add_test(NAME ${name} COMMAND sapphirelane_${name}_test ~[schedules])
+    add_test(NAME ${name} COMMAND sapphirelane_${name}_test ~[schedules]~[large])
     set_tests_properties(${name} PROPERTIES ENVIRONMENT
       "RC_PARAMS=seed=20261204;GOLDEN_DIR=${PROJECT_SOURCE_DIR}/tests/golden")
   endif()
@@ -45,6 +45,16 @@
     RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
+# Adds the tests of large fleets as one test each, so that they run side by side.
+#   sapphirelane_large_fleets("test name"...)
+function(sapphirelane_large_fleets)
+  foreach(number RANGE 1 ${ARGC})
+    math(EXPR index "${number} - 1")
+    list(GET ARGV ${index} filter)
+    add_test(NAME large_fleet_${number} COMMAND sapphirelane_relay_test ${filter})
+  endforeach()
+endfunction()
+
 # Adds the generated schedules as several tests, so that they run side by side.
 #   sapphirelane_schedules(PARTS n EACH schedules)
 function(sapphirelane_schedules)
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -9,6 +9,7 @@
 #include "sapphirelane/admission/start_limits.h"
 #include "sapphirelane/base/hash.h"
 #include "sapphirelane/base/log.h"
+#include "sapphirelane/proxy/attempt_order.h"
 #include "sapphirelane/proxy/pending_request.h"
 #include "sapphirelane/proxy/refusal.h"
 #include "sapphirelane/proxy/request_gate.h"
@@ -29,15 +30,9 @@
 /// Interval at which a repeated request polls the claim of the running one.
 constexpr Milliseconds kClaimPollInterval{ 50 };
 
-/// Maximum time between placing an attempt and sending its first byte.
-constexpr Milliseconds kSendTimeout{ 1000 };
-
 /// Time after the deadline to wait for the end of an attempt.
 constexpr Milliseconds kAttemptEndGrace{ 1000 };
 
-/// Time after the deadline for an endpoint's own timeout response to arrive.
-constexpr Milliseconds kDeadlineAnswerGrace{ 30 };
-
 constexpr Milliseconds kGaugeInterval{ 200 };
 
 constexpr int kMinServerErrorStatus = 500;
@@ -648,75 +643,11 @@
                   .Add(ViewFields(aNow))
                   .Add("left_ms", aRequest.deadline - aNow));
     m_metrics.Count("attempts_total", { { "service", aRequest.service } });
-    m_upstreams.Start(MakeOrder(aRequest, attempt, *placed, aNow));
+    m_upstreams.Start(MakeAttemptOrder(
+      aRequest, attempt, *placed, m_options.dialect, m_options.limits, aNow));
     return true;
   }
 
-  AttemptOrder MakeOrder(const PendingRequest& aRequest,
-                         const Attempt& aAttempt,
-                         const Placement& aPlacement,
-                         TimePoint aNow) const
-  {
-    const RequestHead& head = aRequest.exchange->Head();
-    AttemptOrder order;
-    order.id = aAttempt.id;
-    order.exchange = aRequest.exchange;
-    order.endpoint = aAttempt.endpoint;
-    order.address = aPlacement.address;
-    order.lifetime = aPlacement.lifetime;
-    order.method = head.method;
-    order.target = head.target;
-    order.headers = aRequest.head.forward;
-    const HttpDialect& dialect = m_options.dialect;
-    const std::string* host = FindHeader(head.headers, "Host");
-    if (dialect.forward_host && host != nullptr) {
-      order.headers.emplace_back("Host", *host);
-    }
-    order.echo_header = dialect.request_id;
-    order.echo = aRequest.head.request_id;
-    if (!dialect.caller_names_requests) {
-      order.echo = std::to_string(head.id);
-      order.headers.emplace_back(dialect.request_id, order.echo);
-    }
-    if (!dialect.expected_endpoint.empty()) {
-      order.headers.emplace_back(dialect.expected_endpoint, aAttempt.endpoint);
-    }
-    if (!aRequest.account.empty()) {
-      order.headers.emplace_back(dialect.account, aRequest.account);
-    }
-    order.deadline_header = dialect.deadline;
-    order.hold = MayResend(aRequest);
-    order.has_body = aRequest.head.has_body;
-    order.length = aRequest.head.length;
-    // A request that must not be sent twice uses no pooled connection that may
-    // be dead.
-    const Duration maxIdle = m_options.limits.proven;
-    if (!MayResend(aRequest)) {
-      order.new_connection = maxIdle == Duration::zero();
-      order.unused_for = maxIdle;
-    }
-    order.rewind = aRequest.attempts_made > 1;
-    // The token covers the whole request; later attempts need no new one.
-    const bool first = aRequest.attempts_made == 1 && !aRequest.route.open;
-    order.send_before = aNow + kSendTimeout;
-    if (first) {
-      order.send_before =
-        std::min(order.send_before, aRequest.token_valid_until);
-    }
-    order.deadline = aRequest.deadline;
-    order.give_up = aRequest.deadline + kDeadlineAnswerGrace;
-    return order;
-  }
-
-  /// Whether more than one attempt of the request may be sent.
-  static bool MayResend(const PendingRequest& aRequest)
-  {
-    const std::string& method = aRequest.exchange->Head().method;
-    const bool reads = method == "GET" || method == "HEAD";
-    return aRequest.route.mode == RouteMode::Safe &&
-           (reads ? !aRequest.head.has_body : aRequest.head.length.has_value());
-  }
-
   static Attempt* FindAttempt(PendingRequest& aRequest, std::uint64_t aId)
   {
     for (Attempt& attempt : aRequest.attempts) {
--- a/src/sapphirelane/relay/large_fleet_test.cpp
+++ b/src/sapphirelane/relay/large_fleet_test.cpp
@@ -128,7 +128,8 @@
 /// Guards against messages that grow with the fleet: each request was reported
 /// to every daemon of a data centre, and each heartbeat sent to all of them.
 TEST_CASE("StoreFleet, 444 daemons under load, send no more messages each than "
-          "100 do")
+          "100 do",
+          "[large]")
 {
   LoadedFleet small(100);
   small.Run(Milliseconds(3500));
@@ -151,7 +152,8 @@
 /// Guards against the calls of all daemons at once, of which a store that takes
 /// a few hundred writes a second refuses most.
 TEST_CASE("StoreFleet, 444 daemons start with seeds, know each other before "
-          "traffic begins after 8 s and write few entries to the store")
+          "traffic begins after 8 s and write few entries to the store",
+          "[large]")
 {
   FleetWorld world(444, 5, true);
   world.Advance(std::chrono::seconds(8));
@@ -159,7 +161,8 @@
   CHECK(world.HostCalls() <= 16); // Of the first eight; one may be retried.
 }
 
-TEST_CASE("StoreFleet, seeds are gone, daemons find each other by the store")
+TEST_CASE("StoreFleet, seeds are gone, daemons find each other by the store",
+          "[large]")
 {
   FleetWorld world(30, 3, true);
   for (int seed = 0; seed < 3; ++seed) {
@@ -172,7 +175,8 @@
 }
 
 TEST_CASE("StoreFleet, large data centres and lost messages, takes no live "
-          "daemon for lost")
+          "daemon for lost",
+          "[large]")
 {
   FleetWorld world(120, 2, true);
   FleetFaults faults;
@@ -186,7 +190,8 @@
 }
 
 TEST_CASE("StoreFleet, a third of the daemons of large data centres is lost, "
-          "all others know within 10 s, and that they are back within 5 s")
+          "all others know within 10 s, and that they are back within 5 s",
+          "[large]")
 {
   FleetWorld world(120, 2, true);
   world.Advance(std::chrono::seconds(8));
@@ -203,7 +208,8 @@
 }
 
 TEST_CASE("StoreFleet, daemon of a large data centre is cut off for 10 s, is "
-          "known to be back within 5 s")
+          "known to be back within 5 s",
+          "[large]")
 {
   FleetWorld world(120, 2, true);
   world.Advance(std::chrono::seconds(8));
