--- a/src/sapphirelane/admission/priority_queue.cpp
+++ b/src/sapphirelane/admission/priority_queue.cpp
@@ -55,7 +55,7 @@
         return aNow <= aRequest.start_for_target;
       });
     next = next == waiting.end() ? waiting.begin() : next;
-    const QueuedRequest request = *next;
+    QueuedRequest request = *next;
     waiting.erase(next);
     --m_size;
     if (waiting.empty()) {
