Read the list of hosts only if no other daemon was heard

Cause: since the check for due store calls became less frequent, it no longer ran before the daemon's delay for the store, so that it took the list for unread at its first run, and each of 444 daemons read it once: 452 calls about hosts in place of 8.

Change: whether another daemon was heard is noted before the check.

--- a/src/sapphirelane/relay/discovery.cpp
+++ b/src/sapphirelane/relay/discovery.cpp
@@ -68,8 +68,8 @@
   m_nextCheck = aNow + kCheckInterval;
   const bool alone = HearsNobody(aNow);
   const bool entryDue = IsEntryDue(aUptime, aNow);
-  const bool listDue = alone || !m_hostsRead;
   m_hostsRead = m_hostsRead || (m_hasSeeds && !alone);
+  const bool listDue = alone || !m_hostsRead;
   if (aNow < m_nextCall || !(entryDue || listDue)) {
     return;
   }
