--- a/src/sapphirelane/proxy/caller_front.cpp
+++ b/src/sapphirelane/proxy/caller_front.cpp
@@ -205,8 +205,7 @@
   {
     std::size_t count = m_context.unfinished_requests;
     for (const auto& session : m_sessions) {
-      const bool awaited =
-        m_context.close_idle && session->AwaitsFirstRequest(aNow);
+      const bool awaited = m_context.close_idle && session->AwaitsRequest(aNow);
       count += awaited ? 1 : 0;
     }
     return count;
--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -109,21 +109,22 @@
 {
   const bool idle = m_open && !m_lingering && m_pipeline.empty() &&
                     !m_receiving && !m_headIncomplete;
-  if (!idle || AwaitsFirstRequest(aNow)) {
-    return;
-  }
-  boost::system::error_code error;
-  const bool hasUnreadInput = m_socket.available(error) > 0;
-  if (!hasUnreadInput) {
+  if (idle && !AwaitsRequest(aNow)) {
     ShutdownGracefully();
   }
 }
 
 bool
-CallerSession::AwaitsFirstRequest(TimePoint aNow) const
+CallerSession::AwaitsRequest(TimePoint aNow) const
 {
-  return m_open && !m_hadRequest && !m_lingering &&
-         aNow - m_startedAt < m_context.limits.first_request_timeout;
+  if (!m_open || m_lingering) {
+    return false;
+  }
+  boost::system::error_code error;
+  const bool hasUnreadInput = m_socket.available(error) > 0;
+  return hasUnreadInput ||
+         (!m_hadRequest &&
+          aNow - m_startedAt < m_context.limits.first_request_timeout);
 }
 
 void
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -62,8 +62,9 @@
   /// under way: a new connection is given some time for its first request.
   void CloseIfIdle(TimePoint aNow);
 
-  /// @brief Whether the first request of a new connection is awaited.
-  bool AwaitsFirstRequest(TimePoint aNow) const;
+  /// @brief Whether a request may be under way: the first one of a new
+  /// connection, or one whose bytes have arrived but were not read.
+  bool AwaitsRequest(TimePoint aNow) const;
 
   /// @brief Closes the connection at once, with any response incomplete.
   void Abort();
