--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -41,7 +41,7 @@
 ///
 /// A daemon is live while heartbeats (presence updates) arrive, and a member
 /// for some time longer. In a small data centre daemons send heartbeats to each
-/// other. In a large one each sends to a few chosen at random, and lists when
+/// other. In a large one each sends to a few random ones, and lists when
 /// it last knew the others to be alive, so that the messages of a daemon do not
 /// grow with the data centre (SWIM's dissemination by gossip). From each other
 /// data centre only some send heartbeats, with the same list.
--- a/src/sapphirelane/proxy/attempt_order.h
+++ b/src/sapphirelane/proxy/attempt_order.h
@@ -12,8 +12,7 @@
 bool
 MayResend(const PendingRequest& aRequest);
 
-/// @brief Parameters of an attempt of a request at the endpoint that was
-/// chosen.
+/// @brief Parameters of an attempt of a request at the endpoint of a placement.
 AttemptOrder
 MakeAttemptOrder(const PendingRequest& aRequest,
                  const Attempt& aAttempt,
--- a/src/sapphirelane/proxy/caller_front_test.cpp
+++ b/src/sapphirelane/proxy/caller_front_test.cpp
@@ -226,6 +226,47 @@
   CHECK(caller.ReadUntil("own").find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE_METHOD(HeldListenerFixture,
+                 "CallerListener, stops listening while kept connections have "
+                 "requests that it has not read, counts and answers them")
+{
+  constexpr int kKept = 20;
+  // The first read takes a part of such a request.
+  const std::string body(40000, 'x');
+  std::vector<RawConnection> kept;
+  for (int i = 0; i < kKept; ++i) {
+    kept.push_back(RawConnection::Connect(m_address));
+    kept.back().Write(Get("/first"));
+    Answer(TakeRequest(), "first");
+    kept.back().ReadUntil("first");
+  }
+  RawConnection holder = RawConnection::Connect(m_address);
+  holder.Write(Get("/hold"));
+  m_held.get_future().wait();
+  for (int i = 0; i < kKept; ++i) {
+    const bool isLarge = i % 2 == 0;
+    kept[static_cast<std::size_t>(i)].Write(
+      isLarge
+        ? "POST /late HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n" +
+            body
+        : Get("/late"));
+  }
+  m_listener->StopListening();
+  auto open =
+    std::async(std::launch::async, [this] { return m_listener->Open(); });
+  m_release.set_value();
+  CHECK(open.get() == kKept + 1);
+  Answer(TakeRequest(), "held");
+  for (int i = 0; i < kKept; ++i) {
+    const auto exchange = m_requests.TakeOne(std::chrono::seconds(5));
+    REQUIRE(exchange);
+    Answer(*exchange, "own");
+  }
+  for (RawConnection& caller : kept) {
+    CHECK(caller.ReadUntil("own").find("200") != std::string::npos);
+  }
+}
+
 TEST_CASE_METHOD(ListenerFixture,
                  "CallerListener, stops listening and a caller sends nothing, "
                  "does not wait for it for long")
--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -117,7 +117,8 @@
 bool
 CallerSession::AwaitsRequest(TimePoint aNow) const
 {
-  if (!m_open || m_lingering) {
+  const bool busy = !m_pipeline.empty() || m_receiving || m_headIncomplete;
+  if (!m_open || m_lingering || busy) {
     return false;
   }
   boost::system::error_code error;
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -62,8 +62,8 @@
   /// under way: a new connection is given some time for its first request.
   void CloseIfIdle(TimePoint aNow);
 
-  /// @brief Whether a request may be under way: the first one of a new
-  /// connection, or one whose bytes have arrived but were not read.
+  /// @brief Whether the next request of an idle connection is under way: the
+  /// first one of a new connection, or one whose bytes were not read yet.
   bool AwaitsRequest(TimePoint aNow) const;
 
   /// @brief Closes the connection at once, with any response incomplete.
--- a/src/sapphirelane/relay/observer_map_test.cpp
+++ b/src/sapphirelane/relay/observer_map_test.cpp
@@ -66,7 +66,7 @@
       for (std::uint32_t endpoint : m_endpoints.at(1)) {
         const auto observers =
           static_cast<double>(m_map.ObserversOf(endpoint).size());
-        CHECK(observers >= 2);
+        CHECK(observers >= 3);
         CHECK(observers <= 3 * mean);
       }
     }
