--- a/src/sapphirelane/proxy/caller_session_test.cpp
+++ b/src/sapphirelane/proxy/caller_session_test.cpp
@@ -33,12 +33,6 @@
     m_session->Start(m_now);
   }
 
-  ~CallerSessionFixture()
-  {
-    m_session->Abort();
-    m_io.poll();
-  }
-
   /// Sends a request; it has arrived at the socket when this returns.
   void Send(const std::string& aTarget)
   {
