--- a/src/sapphirelane/relay/view_keeper.cpp
+++ b/src/sapphirelane/relay/view_keeper.cpp
@@ -29,6 +29,9 @@
 /// Interval of reads while a newer configuration is known to exist.
 constexpr Milliseconds kConfigRetryInterval{ 150 };
 
+/// Age from which on a read of the store that refreshes the view is logged.
+constexpr Milliseconds kMinLoggedAge{ 1000 };
+
 /// Upper limit of changes in one datagram.
 constexpr std::ptrdiff_t kMaxChangesPerUpdate = 24;
 
@@ -191,6 +194,12 @@
   const EndpointBatch& batch = aResult.endpoints;
   const std::uint64_t base = batch.whole ? 0 : aResult.after;
   const Duration age = aNow - aResult.asked;
+  const Duration ageBefore = m_view.Age(aNow);
+  if (ageBefore > kMinLoggedAge && m_view.Config() != nullptr) {
+    LogLine("view",
+            "The store was read, as the view was old.",
+            LogFields().Add("view_age_ms", ageBefore).Add("read_ms", age));
+  }
   ApplyEndpoints(base, batch.version, batch.changes, age, "store", aNow);
   m_readDuration = age;
   m_onChange(aNow, "store");
@@ -278,7 +287,7 @@
   const bool senderHasNewer = aUpdate.held_config > m_view.ConfigVersion();
   const bool lacksChanges = !complete && aUpdate.last;
   if (isLocal && (senderHasNewer || lacksChanges)) {
-    FetchFrom(aAddress, aNow);
+    FetchFrom(aAddress, senderHasNewer ? "newer-config" : "changes", aNow);
   }
 }
 
@@ -318,19 +327,25 @@
   }
   if (!addresses.empty()) {
     std::uniform_int_distribution<std::size_t> pick(0, addresses.size() - 1);
-    FetchFrom(addresses[pick(m_random)], aNow);
+    FetchFrom(addresses[pick(m_random)], "stale", aNow);
   }
 }
 
 void
-ViewReplica::FetchFrom(const std::string& aAddress, TimePoint aNow)
+ViewReplica::FetchFrom(const std::string& aAddress,
+                       const char* aReason,
+                       TimePoint aNow)
 {
   if (m_pendingFetch != 0 && aNow < m_fetchDeadline) {
     return;
   }
+  if (m_pendingFetch != 0) {
+    LogFetch(nullptr, aNow);
+  }
   m_pendingFetch = ++m_lastCallId;
   m_fetchDeadline = aNow + kPeerFetchInterval;
   m_fetchAddress = aAddress;
+  m_fetchReason = aReason;
   m_fetchStarted = aNow;
   BulkCall call;
   call.id = m_pendingFetch;
@@ -360,6 +375,26 @@
   m_onChange(aNow, "peer");
 }
 
+/// @param aReply nullptr if there was none in time.
+void
+ViewReplica::LogFetch(const ViewReply* aReply, TimePoint aNow) const
+{
+  LogFields fields;
+  fields.Add("from", m_fetchAddress)
+    .Add("reason", m_fetchReason)
+    .Add("elapsed_ms", aNow - m_fetchStarted);
+  if (aReply == nullptr) {
+    LogLine("view", "The view could not be fetched.", fields);
+    return;
+  }
+  LogLine("view",
+          "The view was fetched.",
+          fields.Add("version", aReply->version)
+            .Add("age_ms", std::uint64_t{ aReply->age_ms })
+            .Add("endpoints", std::uint64_t{ aReply->endpoints.size() })
+            .Add("config_bytes", std::uint64_t{ aReply->config.size() }));
+}
+
 void
 ViewReplica::OnBulkReply(std::uint64_t aCall,
                          const BulkReply& aReply,
@@ -370,6 +405,7 @@
   }
   m_pendingFetch = 0;
   const auto* view = aReply ? std::get_if<ViewReply>(&*aReply) : nullptr;
+  LogFetch(view, aNow);
   if (view != nullptr && view->known) {
     ApplyView(*view, aNow);
   }
--- a/src/sapphirelane/relay/view_keeper.h
+++ b/src/sapphirelane/relay/view_keeper.h
@@ -80,7 +80,10 @@
   void SendUpdate(TimePoint aNow);
   void RecordNewerConfig(std::uint64_t aVersion, bool aIsLocal, TimePoint aNow);
   void FetchFromPeerIfStale(TimePoint aNow);
-  void FetchFrom(const std::string& aAddress, TimePoint aNow);
+  void FetchFrom(const std::string& aAddress,
+                 const char* aReason,
+                 TimePoint aNow);
+  void LogFetch(const ViewReply* aReply, TimePoint aNow) const;
   void ApplyView(const ViewReply& aReply, TimePoint aNow);
 
   StoreFleetEnv& m_env;
@@ -105,6 +108,7 @@
   std::uint64_t m_lastCallId = 0;
   std::uint64_t m_pendingFetch = 0; ///< Id of the call; 0 for none.
   std::string m_fetchAddress;       ///< Of the daemon that is asked.
+  const char* m_fetchReason = "";
   TimePoint m_fetchStarted{};
   TimePoint m_fetchDeadline{};
   TimePoint m_nextPeerFetch{};
