--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -1,6 +1,8 @@
 #ifndef SAPPHIRELANE_RELAY_FLEET_WORLD_H
 #define SAPPHIRELANE_RELAY_FLEET_WORLD_H
 
+#include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -145,7 +147,7 @@
         action();
       }
       for (auto& daemon : m_daemons) {
-        if (!daemon->killed) {
+        if (!daemon->killed && !daemon->frozen) {
           daemon->fleet->Tick(m_now);
         }
       }
@@ -158,6 +160,7 @@
     Daemon& daemon = *m_daemons[Index(aDaemon)];
     ++daemon.run;
     daemon.killed = false;
+    daemon.calls.clear();
     StartDaemon(daemon, m_centres);
   }
 
@@ -165,6 +168,43 @@
   void Partition(int aDaemon) { m_daemons[Index(aDaemon)]->partitioned = true; }
   void Heal(int aDaemon) { m_daemons[Index(aDaemon)]->partitioned = false; }
   void Refuse(int aDaemon) { m_daemons[Index(aDaemon)]->refused = true; }
+
+  /// Cuts a daemon off from the store: its calls end after their time limit.
+  void SetStoreCut(int aDaemon, bool aCut)
+  {
+    m_daemons[Index(aDaemon)]->store_cut = aCut;
+  }
+
+  /// Sets the share of datagrams from and to a daemon that are lost.
+  void SetLoss(int aDaemon, double aShare)
+  {
+    m_daemons[Index(aDaemon)]->loss = aShare;
+  }
+
+  /// Sets the rate at which each daemon's link carries bytes, each way; what
+  /// does not fit waits. Links are unlimited by default.
+  void SetLinkRate(double aBytesPerSecond) { m_linkRate = aBytesPerSecond; }
+
+  /// Adds routes to the configuration, which make it larger.
+  void AddRoutes(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      Route route;
+      route.id = "route-" + std::to_string(i);
+      route.service = "s";
+      m_config.routes[route.id] = route;
+    }
+  }
+
+  /// Stops the work of a daemon for a while. What reaches it waits.
+  void SetFrozen(int aDaemon, bool aFrozen)
+  {
+    Daemon& daemon = *m_daemons[Index(aDaemon)];
+    daemon.frozen = aFrozen;
+    for (auto& action : std::exchange(daemon.waiting, {})) {
+      Schedule(Milliseconds(1), std::move(action));
+    }
+  }
   void SetStoreOutage(bool aOutage) { m_storeOutage = aOutage; }
 
   /// Drops the store's answer to the next configuration read of each daemon.
@@ -237,8 +277,27 @@
     bool killed = false;
     bool partitioned = false;
     bool refused = false;
+    bool store_cut = false;
+    double loss = 0;
+    bool frozen = false;
+    std::vector<std::function<void()>> waiting; ///< Until it is thawed.
+    std::deque<SourceCall> calls; ///< To the store; the first one runs.
+    TimePoint out_free_at{};      ///< Until then its link sends what waits.
+    TimePoint in_free_at{};       ///< Until then its link receives what waits.
   };
 
+  /// Time limits of a call to the store and of a connection to a daemon, as
+  /// deployed.
+  static constexpr Milliseconds kStoreCallTimeout{ 600 };
+  static constexpr Milliseconds kConnectTimeout{ 300 };
+  static constexpr Milliseconds kTransferTimeout{ 1000 };
+
+  /// Sizes of a call to the store without its rows, of an endpoint's entry and
+  /// of a configured item.
+  static constexpr std::size_t kCallBytes = 300;
+  static constexpr std::size_t kEntryBytes = 250;
+  static constexpr std::size_t kItemBytes = 150;
+
   static void StartDaemon(Daemon& aDaemon, int aCentres)
   {
     constexpr NodeId kMaxDaemons = 1000000;
@@ -290,6 +349,12 @@
     return std::bernoulli_distribution(aShare)(m_random);
   }
 
+  bool IsLostAt(int aDaemon)
+  {
+    const double loss = m_daemons[Index(aDaemon)]->loss;
+    return loss > 0 && Draw(loss);
+  }
+
   Duration DrawTime(Duration aMost)
   {
     std::uniform_int_distribution<std::int64_t> draw(0, aMost.count());
@@ -324,72 +389,140 @@
     m_scheduled.emplace(m_now + aTime, std::move(aAction));
   }
 
+  /// Lets a daemon handle something after a time, unless its run has ended.
+  void ScheduleAt(int aDaemon,
+                  Duration aTime,
+                  std::function<void(StoreFleet&)> aAction)
+  {
+    const std::uint64_t run = m_daemons[Index(aDaemon)]->run;
+    Schedule(aTime, [this, aDaemon, run, action = std::move(aAction)] {
+      HandleAt(aDaemon, run, action);
+    });
+  }
+
+  void HandleAt(int aDaemon,
+                std::uint64_t aRun,
+                const std::function<void(StoreFleet&)>& aAction)
+  {
+    Daemon& daemon = *m_daemons[Index(aDaemon)];
+    if (daemon.killed || daemon.run != aRun) {
+      return;
+    }
+    if (daemon.frozen) {
+      daemon.waiting.emplace_back(
+        [this, aDaemon, aRun, aAction] { HandleAt(aDaemon, aRun, aAction); });
+      return;
+    }
+    aAction(*daemon.fleet);
+  }
+
+  /// Time until bytes have passed one direction of a link.
+  Duration PassLink(TimePoint& aFreeAt, TimePoint aArrival, std::size_t aBytes)
+  {
+    if (m_linkRate > 0) {
+      const Seconds time(static_cast<double>(aBytes) / m_linkRate);
+      aFreeAt = std::max(aFreeAt, aArrival) +
+                std::chrono::duration_cast<Duration>(time);
+      aArrival = aFreeAt;
+    }
+    return aArrival - m_now;
+  }
+
+  /// Time until bytes have passed from one daemon's link to another's.
+  Duration PassLinks(int aFrom, int aTo, std::size_t aBytes)
+  {
+    const Duration sent =
+      PassLink(m_daemons[Index(aFrom)]->out_free_at, m_now, aBytes);
+    return PassLink(m_daemons[Index(aTo)]->in_free_at, m_now + sent, aBytes);
+  }
+
   void Deliver(int aFrom, const std::string& aAddress, std::string aBytes)
   {
     const int to = IndexOfAddress(aAddress);
     if (!Reaches(aFrom, to) || m_cutLinks.count({ aFrom, to }) == 1 ||
-        Draw(m_faults.loss)) {
+        Draw(m_faults.loss) || IsLostAt(aFrom) || IsLostAt(to)) {
       return;
     }
-    Duration delay = Milliseconds(1);
+    Duration delay = Milliseconds(1) + PassLinks(aFrom, to, aBytes.size());
     if (Draw(m_faults.delayed)) {
       delay += DrawTime(m_faults.max_delay);
     }
-    Schedule(delay, [this, aFrom, to, bytes = std::move(aBytes)] {
-      if (Reaches(aFrom, to)) {
-        m_daemons[Index(to)]->fleet->OnMessage(
-          Address(aFrom), DecodeMessage(bytes), m_now);
-      }
-    });
+    ScheduleAt(
+      to, delay, [this, aFrom, to, bytes = std::move(aBytes)](auto& aFleet) {
+        if (Reaches(aFrom, to)) {
+          aFleet.OnMessage(Address(aFrom), DecodeMessage(bytes), m_now);
+        }
+      });
   }
 
   void RunBulkCall(int aFrom, const BulkCall& aCall)
   {
     ++m_bulkCalls;
     const int to = IndexOfAddress(aCall.address);
+    const bool answers = Reaches(aFrom, to) && !m_daemons[Index(to)]->frozen;
     BulkReply reply;
-    if (Reaches(aFrom, to)) {
+    if (answers) {
       reply = m_daemons[Index(to)]->fleet->ServeBulk(aCall.request, m_now);
     }
-    Schedule(Milliseconds(5), [this, aFrom, id = aCall.id, reply] {
-      m_daemons[Index(aFrom)]->fleet->OnBulkReply(id, reply, m_now);
+    Duration time = kConnectTimeout;
+    if (answers) {
+      time = Milliseconds(5) + PassLinks(to, aFrom, EncodeBulk(*reply).size());
+    }
+    if (time > kTransferTimeout) {
+      time = kTransferTimeout;
+      reply.reset();
+    }
+    ScheduleAt(aFrom, time, [this, id = aCall.id, reply](auto& aFleet) {
+      aFleet.OnBulkReply(id, reply, m_now);
     });
   }
 
+  /// Queues a call to the store; a daemon makes one after the other.
   void RunSourceCall(int aFrom, const SourceCall& aCall)
   {
     ++m_calls;
     const bool ofHosts = aCall.kind != SourceCall::Kind::ReadConfig &&
                          aCall.kind != SourceCall::Kind::ReadEndpoints;
     m_hostCalls += ofHosts ? 1 : 0;
+    auto& calls = m_daemons[Index(aFrom)]->calls;
+    calls.push_back(aCall);
+    if (calls.size() == 1) {
+      StartSourceCall(aFrom);
+    }
+  }
+
+  void StartSourceCall(int aFrom)
+  {
+    Daemon& daemon = *m_daemons[Index(aFrom)];
+    const SourceCall call = daemon.calls.front();
     SourceResult result;
-    result.kind = aCall.kind;
-    result.after = aCall.after;
+    result.kind = call.kind;
+    result.after = call.after;
     result.asked = m_now;
-    const bool dropped = aCall.kind == SourceCall::Kind::ReadConfig &&
+    const bool dropped = call.kind == SourceCall::Kind::ReadConfig &&
                          m_dropConfigRead.erase(aFrom) == 1;
-    result.answered = !m_storeOutage && !m_daemons[Index(aFrom)]->refused &&
+    result.answered = !m_storeOutage && !daemon.refused && !daemon.store_cut &&
                       !dropped && !Draw(m_faults.refused);
     // The store takes effect at any moment of a call.
     Duration before = DrawTime(m_faults.max_call);
     Duration after = Milliseconds(4) + DrawTime(m_faults.max_call);
-    if (dropped) {
-      after = Milliseconds(600);
+    if (dropped || daemon.store_cut) {
+      after = kStoreCallTimeout;
     }
     auto readTime = m_readTimes.find(aFrom);
-    if (aCall.kind == SourceCall::Kind::ReadEndpoints &&
+    if (call.kind == SourceCall::Kind::ReadEndpoints &&
         readTime != m_readTimes.end()) {
       before = readTime->second;
     }
-    auto finish = [this, aFrom, aCall, result, after]() mutable {
+    before += PassLink(daemon.out_free_at, m_now, kCallBytes);
+    auto finish = [this, aFrom, call, result, after]() mutable {
+      Duration left = after;
       if (result.answered) {
-        CallStore(aFrom, aCall, result);
+        const std::size_t bytes = CallStore(aFrom, call, result);
+        left =
+          PassLink(m_daemons[Index(aFrom)]->in_free_at, m_now + after, bytes);
       }
-      Schedule(after, [this, aFrom, result] {
-        if (!m_daemons[Index(aFrom)]->killed) {
-          m_daemons[Index(aFrom)]->fleet->OnSource(result, m_now);
-        }
-      });
+      EndSourceCall(aFrom, left, std::move(result));
     };
     if (before == Duration::zero()) {
       finish();
@@ -398,8 +531,38 @@
     }
   }
 
-  void CallStore(int aFrom, const SourceCall& aCall, SourceResult& aResult)
+  /// Ends a call after a time, or without an answer at its time limit.
+  void EndSourceCall(int aFrom, Duration aTime, SourceResult aResult)
+  {
+    const bool limited = m_linkRate > 0;
+    const Duration limit = aResult.asked + kStoreCallTimeout - m_now;
+    if (limited && aTime > limit) {
+      aTime = std::max(limit, Duration::zero());
+      aResult.answered = false;
+    }
+    const std::uint64_t run = m_daemons[Index(aFrom)]->run;
+    Schedule(aTime, [this, aFrom, run, result = std::move(aResult)] {
+      Daemon& daemon = *m_daemons[Index(aFrom)];
+      if (daemon.run != run) {
+        return;
+      }
+      daemon.calls.pop_front();
+      if (!daemon.calls.empty()) {
+        StartSourceCall(aFrom);
+      }
+      HandleAt(aFrom, run, [this, result](StoreFleet& aFleet) {
+        aFleet.OnSource(result, m_now);
+      });
+    });
+  }
+
+  /// Makes a call at the store.
+  /// @return Size of its answer in bytes.
+  std::size_t CallStore(int aFrom,
+                        const SourceCall& aCall,
+                        SourceResult& aResult)
   {
+    std::size_t bytes = kCallBytes;
     switch (aCall.kind) {
       case SourceCall::Kind::ReadEndpoints:
         m_lastReader = aFrom;
@@ -410,6 +573,7 @@
           if (change.version > aCall.after &&
               (change.endpoint || aCall.after > 0)) {
             aResult.endpoints.changes.push_back(change);
+            bytes += kEntryBytes;
           }
         }
         break;
@@ -417,6 +581,8 @@
         aResult.config.version = m_version;
         if (m_configVersion > aCall.after) {
           aResult.config.config = m_config;
+          bytes +=
+            kItemBytes * (m_config.routes.size() + m_config.accounts.size());
         }
         break;
       case SourceCall::Kind::WriteHost:
@@ -425,12 +591,14 @@
       case SourceCall::Kind::ReadHosts:
         for (const auto& entry : m_hosts) {
           aResult.hosts.push_back(entry.second);
+          bytes += kItemBytes;
         }
         break;
       case SourceCall::Kind::RemoveHost:
         m_hosts.erase(aCall.host.host);
         break;
     }
+    return bytes;
   }
 
   TimePoint m_now{ std::chrono::hours(1) };
@@ -449,6 +617,7 @@
   std::map<int, Duration> m_readTimes; ///< See SetReadTime.
   std::map<std::string, StateHistory> m_history;
   FleetFaults m_faults;
+  double m_linkRate = 0; ///< In bytes a second; see SetLinkRate.
   std::mt19937_64 m_random{ 1 };
   bool m_seeded = false;
   int m_centres = 1;
