Bound what one daemon sends of its view, and send only what is lacking

Cause: an update tells its receivers that its sender holds a newer configuration, or carries changes that they lack; each daemon of the data centre then fetched the whole view and configuration from that one sender. 33 times 42 kB take 1.1 s of a link of 10 Mbit/s, a series of configurations or one of 980 routes more takes several seconds. The sender's reads of the store and its updates wait behind these bytes, the fetches end at their time limit and begin anew, and the others wait for the reader by its rank. The class: state that all need at once, served by one host without a bound.

Change: a fetch names the versions that the asker has. The answer holds the changes of routing since then, taken over only with the view's digest, and the difference of the configurations, checked by a hash of the text. TransferBudget bounds the bytes that are sent to others; who is turned away asks a daemon that has got them, or reads the store as before. Changes that an update lacks are fetched across data centres too.

--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -74,6 +74,9 @@
   /// listed.
   std::vector<EndpointChange> ChangesSince(TimePoint aTime) const;
 
+  /// @brief Changes of routing that follow on a version of the store.
+  std::vector<EndpointChange> ChangesAfter(std::uint64_t aVersion) const;
+
   /// @brief Hash of what the entries say about routing, regardless of their
   /// versions. Equal for daemons that know the same state of the store.
   std::uint64_t Digest() const { return m_digest; }
@@ -108,6 +111,7 @@
     /// Set if the entry was removed but is still in use until then.
     std::optional<TimePoint> remove_at;
     TimePoint changed_at{};   ///< When its routing last changed here.
+    std::uint64_t routing_version = 0; ///< Version of that change, or later.
     std::uint64_t digest = 0; ///< Its part of m_digest.
 
     /// The entry in the store.
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -733,31 +733,53 @@
   }
 };
 
-/// @brief Asks a daemon of a store fleet for its view.
+/// @brief Asks a daemon of a store fleet for what its view has beyond the
+/// asker's.
 struct FetchView
 {
   std::uint64_t config_version = 0; ///< What the asker has; 0 for nothing.
+  std::uint64_t view_version = 0;   ///< Of its endpoints; 0 for nothing.
+  std::string address;              ///< Of the asker.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(config_version);
+    aArchive(config_version, view_version, address);
   }
 };
 
 /// @brief Answers a FetchView.
 struct ViewReply
 {
-  bool known = false;                  ///< The daemon has a view.
+  bool known = false; ///< The daemon has a view.
+  /// It has sent too much to others just now; nothing else is set but the
+  /// address of a daemon that may answer, if it knows one.
+  bool busy = false;
+  std::string other;
   std::uint32_t age_ms = 0;            ///< Since the store was asked.
   std::uint64_t version = 0;           ///< Of the endpoints.
-  std::vector<WireEndpoint> endpoints; ///< All of them.
-  std::string config; ///< See EncodeFleet; empty if the asker has it.
+  std::uint64_t digest = 0;            ///< Of the view, see FleetView::Digest.
+  std::uint64_t base = 0;              ///< Version that the endpoints follow on.
+  std::vector<WireEndpoint> endpoints; ///< All of them if base is 0.
+  /// See EncodeFleet, or a ConfigHistory difference; empty if the asker has it.
+  std::string config;
+  std::uint64_t config_base = 0; ///< Of the difference; 0 for a whole text.
+  std::uint64_t config_hash = 0; ///< StableHash of the whole text.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(known, age_ms, version, endpoints, config);
+    aArchive(known,
+             busy,
+             other,
+             age_ms,
+             version,
+             digest,
+             base,
+             endpoints,
+             config,
+             config_base,
+             config_hash);
   }
 };
 
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -162,6 +162,7 @@
   }
   m_digest += digest - aEntry.digest;
   aEntry.digest = digest;
+  aEntry.routing_version = aEntry.version;
   // A first snapshot is news to nobody.
   aEntry.changed_at = m_version > 0 ? aNow : TimePoint{};
 }
@@ -186,6 +187,18 @@
   return changes;
 }
 
+std::vector<EndpointChange>
+FleetView::ChangesAfter(std::uint64_t aVersion) const
+{
+  std::vector<EndpointChange> changes;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.routing_version > aVersion) {
+      changes.push_back(ChangeOf(id, entry));
+    }
+  }
+  return changes;
+}
+
 bool
 FleetView::ApplyChange(const EndpointChange& aChange, TimePoint aNow)
 {
--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -196,6 +196,14 @@
     }
   }
 
+  /// Changes every route, so that no difference is shorter than the whole.
+  void ChangeRoutes()
+  {
+    for (auto& entry : m_config.routes) {
+      ++entry.second.attempts;
+    }
+  }
+
   /// Stops the work of a daemon for a while. What reaches it waits.
   void SetFrozen(int aDaemon, bool aFrozen)
   {
--- a/src/sapphirelane/relay/narrow_link_test.cpp
+++ b/src/sapphirelane/relay/narrow_link_test.cpp
@@ -23,10 +23,15 @@
 class NarrowLinkFleet
 {
 public:
-  NarrowLinkFleet(std::uint64_t aSeed, int aDaemons, int aCentres)
+  /// @param aChangesRoutes Each configuration changes all routes.
+  NarrowLinkFleet(std::uint64_t aSeed,
+                  int aDaemons,
+                  int aCentres,
+                  bool aChangesRoutes)
     : m_random(aSeed)
     , m_world(aDaemons, aCentres, true)
     , m_endpoints(aDaemons * 2)
+    , m_changesRoutes(aChangesRoutes)
   {
     m_world.AddRoutes(kRoutes);
     for (int i = 0; i < m_endpoints; ++i) {
@@ -51,6 +56,9 @@
       }
       if (m_world.Now() >= nextConfig) {
         nextConfig += Milliseconds(Draw(100, 3000));
+        if (m_changesRoutes) {
+          m_world.ChangeRoutes();
+        }
         m_world.SetConfig(++m_config);
       }
       WriteHeartbeats();
@@ -125,6 +133,7 @@
   std::mt19937_64 m_random;
   FleetWorld m_world;
   int m_endpoints;
+  bool m_changesRoutes;
   std::uint64_t m_config = 1;
   std::set<std::string> m_leaving;
   std::vector<Leave> m_leaves;
@@ -140,19 +149,19 @@
   return text == nullptr ? aDefault : std::atoi(text);
 }
 
-/// Guards against one daemon that sends its whole view to its data centre at
-/// once, so that its reads of the store and its updates wait behind the bytes.
-/// FLEET_SEEDS fleets of FLEET_SIZE daemons are played, 2 of 99 by default.
-TEST_CASE("StoreFleet, configuration changes while endpoints are replaced on "
-          "narrow links, all daemons know each leave in time",
-          "[large]")
+/// Plays FLEET_SEEDS fleets of FLEET_SIZE daemons, 2 of 99 by default.
+void
+PlayNarrowLinks(bool aChangesRoutes)
 {
   const int seeds = Setting("FLEET_SEEDS", 2);
   const int size = Setting("FLEET_SIZE", 99);
   for (int seed = 1; seed <= seeds; ++seed) {
     INFO("seed " << seed);
-    NarrowLinkFleet fleet(
-      static_cast<std::uint64_t>(seed), size, size > 150 ? 5 : 3);
+    constexpr int kLargeSize = 150;
+    NarrowLinkFleet fleet(static_cast<std::uint64_t>(seed),
+                          size,
+                          size > kLargeSize ? 5 : 3,
+                          aChangesRoutes);
     CHECK(fleet.Play(std::chrono::seconds(15)) == 0);
     if (std::getenv("FLEET_PRINT") != nullptr) {
       std::cout << "oldest view " << ToSeconds(fleet.OldestView()) << " s\n";
@@ -160,5 +169,21 @@
   }
 }
 
+/// Guards against one daemon that sends its whole view to its data centre at
+/// once, so that its reads of the store and its updates wait behind the bytes.
+TEST_CASE("StoreFleet, configuration changes while endpoints are replaced on "
+          "narrow links, all daemons know each leave in time",
+          "[large]")
+{
+  PlayNarrowLinks(false);
+}
+
+TEST_CASE("StoreFleet, whole configuration changes while endpoints are "
+          "replaced on narrow links, all daemons know each leave in time",
+          "[large]")
+{
+  PlayNarrowLinks(true);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/view_keeper.cpp
+++ b/src/sapphirelane/relay/view_keeper.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "sapphirelane/base/error.h"
+#include "sapphirelane/base/hash.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/relay/view_wire.h"
 
@@ -32,6 +33,18 @@
 /// Age from which on a read of the store that refreshes the view is logged.
 constexpr Milliseconds kMinLoggedAge{ 1000 };
 
+/// Least time until another daemon is asked after one that is busy, the random
+/// part added to it, and the daemons that are asked in a row.
+constexpr Milliseconds kBusyRetryDelay{ 20 };
+constexpr int kBusyRetryJitterMs = 60;
+constexpr int kMaxReferrals = 8;
+
+/// Receivers of the newest configuration that are remembered.
+constexpr std::size_t kMaxReceivers = 16;
+
+/// Size of an endpoint in a reply.
+constexpr std::size_t kEndpointBytes = 100;
+
 /// Upper limit of changes in one datagram.
 constexpr std::ptrdiff_t kMaxChangesPerUpdate = 24;
 
@@ -63,6 +76,7 @@
   , m_random(aRandom)
   , m_onChange(std::move(aOnChange))
   , m_seeds(aOptions.seeds)
+  , m_address(aOptions.self.address)
   , m_dataCentre(aOptions.self.data_centre)
   , m_view(aOptions.view)
   , m_self(aOptions.self.id)
@@ -125,17 +139,18 @@
   return m_delays.Record(aSender, aUptime, aNow);
 }
 
-/// The configuration as text, encoded once for each version.
-const std::string&
-ViewReplica::EncodedConfig(const FleetConfig& aConfig)
+/// Applies a configuration that was read from the store.
+bool
+ViewReplica::TakeConfig(FleetConfig aConfig)
 {
-  if (m_encodedVersion != aConfig.version) {
-    FleetConfig copy = aConfig;
-    copy.endpoints.clear();
-    m_encodedConfig = EncodeFleet(copy);
-    m_encodedVersion = aConfig.version;
+  const std::uint64_t version = aConfig.version;
+  if (version <= m_view.ConfigVersion()) {
+    return false;
   }
-  return m_encodedConfig;
+  aConfig.endpoints.clear();
+  m_configs.Add(version, EncodeFleet(aConfig));
+  m_receivers.clear();
+  return m_view.TakeConfig(std::move(aConfig));
 }
 
 void
@@ -145,6 +160,7 @@
   m_view.Tick(aNow);
   m_delays.Tick(aNow);
   ReadStore(aNow);
+  RetryFetch(aNow);
   FetchFromPeerIfStale(aNow);
 }
 
@@ -224,7 +240,7 @@
     m_env.CallSource(call);
   }
   m_configCursor = std::max(m_configCursor, aResult.config.version);
-  if (aResult.config.config && m_view.TakeConfig(*aResult.config.config)) {
+  if (aResult.config.config && TakeConfig(*aResult.config.config)) {
     m_onChange(aNow, "store");
     SendUpdate(aNow);
   }
@@ -286,7 +302,10 @@
   RecordNewerConfig(aUpdate.config_version, isLocal, aNow);
   const bool senderHasNewer = aUpdate.held_config > m_view.ConfigVersion();
   const bool lacksChanges = !complete && aUpdate.last;
-  if (isLocal && (senderHasNewer || lacksChanges)) {
+  m_lacksChanges = !complete && (lacksChanges || m_lacksChanges);
+  // Another data centre's daemon is asked for the few changes of an update, but
+  // not for a configuration.
+  if ((isLocal && senderHasNewer) || lacksChanges) {
     FetchFrom(aAddress, senderHasNewer ? "newer-config" : "changes", aNow);
   }
 }
@@ -350,29 +369,99 @@
   BulkCall call;
   call.id = m_pendingFetch;
   call.address = aAddress;
-  call.request = FetchView{ m_view.ConfigVersion() };
+  call.request = FetchView{ m_view.ConfigVersion(),
+                            m_fetchWhole ? 0 : m_view.Version(),
+                            m_address };
   m_env.CallPeer(call);
 }
 
+/// Asks another daemon for what one that was busy did not send.
 void
-ViewReplica::ApplyView(const ViewReply& aReply, TimePoint aNow)
+ViewReplica::RetryFetch(TimePoint aNow)
+{
+  if (m_retryAddress.empty() || aNow < m_retryAt) {
+    return;
+  }
+  const std::string address = std::exchange(m_retryAddress, {});
+  const bool behind = m_newestConfigVersion > m_view.ConfigVersion();
+  if (behind || m_lacksChanges) {
+    FetchFrom(address, m_fetchReason, aNow);
+  }
+}
+
+/// Prepares to ask the daemon that a busy one names, or any neighbour.
+void
+ViewReplica::OnBusyReply(const ViewReply& aReply, TimePoint aNow)
 {
-  if (!aReply.config.empty()) {
-    try {
-      m_view.TakeConfig(DecodeAcceptedFleet(aReply.config));
-    } catch (const ConfigError& error) {
-      LogLine("view",
-              "The configuration fetched from a peer is invalid and ignored.",
-              LogFields().Add("error", error.what()));
+  if (++m_referrals > kMaxReferrals) {
+    m_referrals = 0;
+    return;
+  }
+  m_retryAddress = aReply.other;
+  if (m_retryAddress.empty()) {
+    const auto addresses = m_peers.Neighbours(aNow);
+    if (addresses.empty()) {
+      return;
     }
+    std::uniform_int_distribution<std::size_t> pick(0, addresses.size() - 1);
+    m_retryAddress = addresses[pick(m_random)];
+  }
+  std::uniform_int_distribution<int> jitterMs(0, kBusyRetryJitterMs);
+  m_retryAt = aNow + kBusyRetryDelay + Milliseconds(jitterMs(m_random));
+}
+
+/// Applies the configuration of a reply, or the difference to one.
+void
+ViewReplica::ApplyConfig(const ViewReply& aReply)
+{
+  if (aReply.config.empty()) {
+    return;
+  }
+  std::optional<std::string> text = aReply.config;
+  if (aReply.config_base != 0) {
+    text =
+      m_configs.Apply(aReply.config_base, aReply.config, aReply.config_hash);
+  }
+  try {
+    if (!text) {
+      throw ConfigError("the difference does not fit the own version");
+    }
+    FleetConfig config = DecodeAcceptedFleet(*text);
+    if (config.version > m_view.ConfigVersion()) {
+      m_configs.Add(config.version, std::move(*text));
+      m_receivers.clear();
+      m_view.TakeConfig(std::move(config));
+    }
+  } catch (const ConfigError& error) {
+    LogLine("view",
+            "The configuration fetched from a peer is invalid and ignored.",
+            LogFields().Add("error", error.what()));
+  }
+}
+
+void
+ViewReplica::ApplyView(const ViewReply& aReply, TimePoint aNow)
+{
+  m_referrals = 0;
+  ApplyConfig(aReply);
+  const Duration age = Milliseconds(aReply.age_ms) + (aNow - m_fetchStarted);
+  if (aReply.base == 0) {
+    m_fetchWhole = false;
+    m_lacksChanges = false;
+    ApplyEndpoints(
+      0, aReply.version, FromWire(aReply.endpoints), age, m_fetchAddress, aNow);
+  } else {
+    const Duration ageBefore = m_view.Age(aNow);
+    m_fetchWhole = !m_view.TakeUpdate(
+      aReply.version, aReply.digest, FromWire(aReply.endpoints), age, aNow);
+    m_lacksChanges = m_fetchWhole;
+    RecordSource(m_fetchAddress, ageBefore, aNow);
+    LogDepartures(m_fetchAddress, aNow);
   }
-  ApplyEndpoints(0,
-                 aReply.version,
-                 FromWire(aReply.endpoints),
-                 Milliseconds(aReply.age_ms) + (aNow - m_fetchStarted),
-                 m_fetchAddress,
-                 aNow);
   m_onChange(aNow, "peer");
+  if (m_fetchWhole) {
+    FetchFrom(m_fetchAddress, "changes", aNow);
+  }
 }
 
 /// @param aReply nullptr if there was none in time.
@@ -406,11 +495,43 @@
   m_pendingFetch = 0;
   const auto* view = aReply ? std::get_if<ViewReply>(&*aReply) : nullptr;
   LogFetch(view, aNow);
-  if (view != nullptr && view->known) {
+  if (view != nullptr && view->busy) {
+    OnBusyReply(*view, aNow);
+  } else if (view != nullptr && view->known) {
     ApplyView(*view, aNow);
   }
 }
 
+/// Adds the configuration, as the difference to the asker's if that is known.
+void
+ViewReplica::AddConfig(ViewReply& aReply, std::uint64_t aBase)
+{
+  aReply.config = m_configs.Text();
+  const auto difference = m_configs.DifferenceFrom(aBase);
+  if (difference) {
+    aReply.config = *difference;
+    aReply.config_base = aBase;
+    aReply.config_hash = StableHash(m_configs.Text());
+  }
+}
+
+/// A daemon that was sent the newest configuration, other than one; empty if
+/// there is none.
+std::string
+ViewReplica::PickReceiver(const std::string& aExcept) const
+{
+  std::vector<std::string> others;
+  std::copy_if(m_receivers.begin(),
+               m_receivers.end(),
+               std::back_inserter(others),
+               [&](const std::string& aItem) { return aItem != aExcept; });
+  if (others.empty()) {
+    return {};
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
+  return others[pick(m_random)];
+}
+
 ViewReply
 ViewReplica::AnswerFetch(const FetchView& aFetch, TimePoint aNow)
 {
@@ -422,9 +543,29 @@
   reply.known = true;
   reply.age_ms = AgeOnWire(m_view.Age(aNow));
   reply.version = m_view.Version();
-  reply.endpoints = ToWire(m_view.Endpoints());
-  if (config->version > aFetch.config_version) {
-    reply.config = EncodedConfig(*config);
+  reply.digest = m_view.Digest();
+  // A view that is newer than this one gets nothing that it could use.
+  reply.base = std::min(aFetch.view_version, reply.version);
+  reply.endpoints = ToWire(reply.base == 0 ? m_view.Endpoints()
+                                           : m_view.ChangesAfter(reply.base));
+  const bool sendsConfig = config->version > aFetch.config_version;
+  if (sendsConfig) {
+    AddConfig(reply, aFetch.config_version);
+  }
+  const std::size_t bytes =
+    reply.config.size() + reply.endpoints.size() * kEndpointBytes;
+  if (!m_budget.TryTake(bytes, aNow)) {
+    ViewReply refusal;
+    refusal.known = true;
+    refusal.busy = true;
+    refusal.other = PickReceiver(aFetch.address);
+    return refusal;
+  }
+  if (sendsConfig) {
+    m_receivers.push_back(aFetch.address);
+    if (m_receivers.size() > kMaxReceivers) {
+      m_receivers.pop_front();
+    }
   }
   return reply;
 }
--- a/src/sapphirelane/relay/view_keeper.h
+++ b/src/sapphirelane/relay/view_keeper.h
@@ -2,24 +2,27 @@
 #define SAPPHIRELANE_RELAY_VIEW_KEEPER_H
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <string>
 #include <vector>
 
+#include "sapphirelane/relay/config_history.h"
 #include "sapphirelane/relay/delay_estimator.h"
 #include "sapphirelane/relay/fleet_view.h"
 #include "sapphirelane/relay/peer_book.h"
 #include "sapphirelane/relay/read_pacer.h"
 #include "sapphirelane/relay/spreader.h"
 #include "sapphirelane/relay/store_fleet.h"
+#include "sapphirelane/relay/transfer_budget.h"
 
 namespace sapphirelane {
 
 /// @brief Keeps this daemon's replica of the store up to date.
 ///
 /// Reads the store when ReadPacer says so, sends what was read to the other
-/// daemons, applies their updates, and fetches the whole view from a peer when
-/// updates are missing or the store cannot be reached.
+/// daemons, applies their updates, and fetches what its view lacks from a peer
+/// when updates are missing or the store cannot be reached.
 class ViewReplica
 {
 public:
@@ -74,7 +77,6 @@
                     Duration aAgeBefore,
                     TimePoint aNow);
   void LogDepartures(const std::string& aSource, TimePoint aNow);
-  const std::string& EncodedConfig(const FleetConfig& aConfig);
   void ReadStore(TimePoint aNow);
   void ReadConfig();
   void SendUpdate(TimePoint aNow);
@@ -83,8 +85,14 @@
   void FetchFrom(const std::string& aAddress,
                  const char* aReason,
                  TimePoint aNow);
+  void RetryFetch(TimePoint aNow);
+  void OnBusyReply(const ViewReply& aReply, TimePoint aNow);
   void LogFetch(const ViewReply* aReply, TimePoint aNow) const;
+  bool TakeConfig(FleetConfig aConfig);
+  void ApplyConfig(const ViewReply& aReply);
   void ApplyView(const ViewReply& aReply, TimePoint aNow);
+  void AddConfig(ViewReply& aReply, std::uint64_t aBase);
+  std::string PickReceiver(const std::string& aExcept) const;
 
   StoreFleetEnv& m_env;
   const PeerBook& m_peers;
@@ -92,6 +100,7 @@
   Random& m_random;
   OnChange m_onChange;
   std::vector<std::string> m_seeds;
+  std::string m_address;
   std::string m_dataCentre;
   FleetView m_view;
   std::string m_source; ///< See Source.
@@ -112,8 +121,15 @@
   TimePoint m_fetchStarted{};
   TimePoint m_fetchDeadline{};
   TimePoint m_nextPeerFetch{};
-  std::string m_encodedConfig; ///< Cache of EncodedConfig.
-  std::uint64_t m_encodedVersion = 0;
+  bool m_fetchWhole = false;   ///< What was fetched did not complete the view.
+  bool m_lacksChanges = false; ///< Since an update that did not complete it.
+  std::string m_retryAddress;  ///< Daemon to ask next; empty for none.
+  TimePoint m_retryAt{};
+  int m_referrals = 0; ///< Daemons in a row that were busy.
+  ConfigHistory m_configs;
+  TransferBudget m_budget;
+  /// Daemons that were sent the newest configuration.
+  std::deque<std::string> m_receivers;
 };
 
 } // namespace sapphirelane
