--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -196,6 +196,8 @@
     }
   }
 
+  void AddRoute(const Route& aRoute) { m_config.routes[aRoute.id] = aRoute; }
+
   /// Changes every route, so that no difference is shorter than the whole.
   void ChangeRoutes()
   {
