Keep the fleet within the limits that endpoints name

Cause: the header is not read. Read by each host for itself it would be kept 32 or 444 times over. The class: a bound on what all hosts do together, kept by none of them, or by each alone.

Change: EndpointLimits, a replica of a token bucket for each endpoint that names a limit. It takes from it what this host sends and what the others report; load reports already go out at once with each attempt, and now carry a counter of the attempts, so that a lost one is made good by the next. Hosts that all wait would use the same token within the time of a report, so each lets others go first for a random time. The limit is told to all hosts when it is first named or ends, every second while it changes, every 5 s while it holds; it is forgotten after 20 s, for those that send nothing there. In a large fleet only hosts that hear of all requests at an endpoint send to it. A host that reaches part of the fleet uses that part's share. Retries, hedges, tests of ejected endpoints and probes of idle ones are held to it. The expected wait, from which requests are refused at once, counts the smaller capacity.

Not a limit: text, NaN, negative numbers, two different headers (ignored, counted, logged at most once a second; what was known stays), above 1e6, or four times what the endpoint's slots can do (no messages). 0 is kept until it is forgotten. An answer without the header ends the limit only if it is proven to be the endpoint's. A new lifetime begins without one.

It cost no datagrams but those that tell a limit, and 4 bytes for each endpoint in a load report.

Ruled out: one host that grants (a round trip, a time-out and a successor for each request that waits); even shares of each host (one request in minutes at 444 hosts).

--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIRELANE_MEMBERSHIP_FLEET_CONTROL_H
 #define SAPPHIRELANE_MEMBERSHIP_FLEET_CONTROL_H
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -49,7 +50,8 @@
   std::string endpoint;
   std::uint32_t answered = 0; ///< Complete answers.
   std::uint32_t bad = 0;      ///< Failed or stalled attempts.
-  std::uint32_t shed = 0; ///< Attempts that the endpoint rejected as overload.
+  std::uint32_t shed = 0;  ///< Attempts that the endpoint rejected as overload.
+  std::uint32_t begun = 0; ///< Attempts of other daemons that have started.
   Duration answer_time{ 0 }; ///< Mean response time; 0 if unknown.
   /// Requests of other daemons in progress there; nothing if unknown.
   std::optional<std::uint32_t> in_flight;
@@ -84,6 +86,16 @@
   std::uint64_t lifetime = 0; ///< Of the process that said so; 0 if unknown.
 };
 
+/// @brief An endpoint has told some daemon what it takes.
+struct LimitReport
+{
+  std::string service;
+  std::string endpoint;
+  std::uint64_t lifetime = 0; ///< Of the process that said so; 0 if unknown.
+  /// Requests a second from all hosts together; nothing if it names no limit.
+  std::optional<double> limit;
+};
+
 /// @brief Version and source of a daemon's view of the endpoints.
 struct ViewState
 {
@@ -92,8 +104,8 @@
   std::string source;        ///< "store", or the daemon that refreshed it.
 };
 
-using ControlEvent =
-  std::variant<TokenResult, ClaimResult, FleetEvidence, LeaveReport>;
+using ControlEvent = std::
+  variant<TokenResult, ClaimResult, FleetEvidence, LeaveReport, LimitReport>;
 
 /// @brief Interface between the request path of a daemon and the control plane
 /// of the fleet.
@@ -159,6 +171,17 @@
   /// other daemons get a LeaveReport, unless the message is lost.
   virtual void ShareLeave(const LeaveReport& /*aReport*/, TimePoint /*aNow*/) {}
 
+  /// @brief Tells the fleet what limit an endpoint has named. The other daemons
+  /// get a LimitReport, unless the message is lost.
+  virtual void ShareLimit(const LimitReport& /*aReport*/, TimePoint /*aNow*/) {}
+
+  /// @brief Share of what an endpoint takes from all hosts that this one may
+  /// use, together with those whose requests it hears of.
+  virtual double LimitShare() const
+  {
+    return 1.0 / static_cast<double>(std::max<std::size_t>(1, Rank().second));
+  }
+
   /// @brief Records that a request of a service has ended.
   /// @param aServed The request got a successful answer.
   virtual void NoteOutcome(const std::string& /*aService*/,
--- a/include/sapphirelane/proxy/dialect.h
+++ b/include/sapphirelane/proxy/dialect.h
@@ -44,6 +44,9 @@
   /// Header of an endpoint's response that says that it leaves.
   std::string leaving = "X-Sapphirelane-Leaving";
   std::string leaving_value = "1";
+  /// Header of an endpoint's response with the requests a second that it takes
+  /// from all hosts together.
+  std::string limit = "X-Sapphirelane-Limit";
   /// Status of an endpoint that is not the intended one, so that the request
   /// did not run; 0 for none.
   int other_endpoint_status = 0;
--- a/include/sapphirelane/proxy/endpoint_signals.h
+++ b/include/sapphirelane/proxy/endpoint_signals.h
@@ -16,6 +16,10 @@
 {
   std::optional<LoadReport> load;
   bool leaving = false; ///< It is shutting down and takes no new work.
+  /// Requests a second that it takes from all hosts; nothing if it names no
+  /// limit that could matter.
+  std::optional<double> limit;
+  bool limit_malformed = false; ///< What it takes is not known.
   /// It rejected the request and wants none from this host for this time.
   std::optional<Duration> retry_after;
   std::vector<std::string> malformed; ///< Names of headers that were ignored.
@@ -26,6 +30,11 @@
 EndpointSignals
 ReadSignals(const ResponseHead& aHead, const HttpDialect& aDialect);
 
+/// @brief Parses an endpoint's limit in requests a second.
+/// @return The limit, or nothing if the text is malformed or negative.
+std::optional<double>
+ParseLimit(const std::string& aText);
+
 /// @brief Parses a Retry-After header in seconds, with fractions. A date is
 /// malformed. Times above ten minutes are cut to that.
 /// @return The time, or nothing if the text is malformed or negative.
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -13,6 +13,7 @@
 #include "sapphirelane/membership/fleet_control.h"
 #include "sapphirelane/routing/balancer.h"
 #include "sapphirelane/routing/ejector.h"
+#include "sapphirelane/routing/endpoint_limits.h"
 #include "sapphirelane/routing/endpoint_notices.h"
 
 namespace sapphirelane {
@@ -57,6 +58,7 @@
   std::string data_centre; ///< Of this daemon.
   Duration connection_life = Milliseconds(
     0); ///< Idle time for which a kept connection counts as usable.
+  std::uint64_t seed = 1; ///< Of random waits; different on each host.
 };
 
 /// @brief A daemon's view of one service: its endpoints, their health and load.
@@ -133,6 +135,28 @@
                       Duration aTime,
                       TimePoint aNow);
 
+  /// @brief Records what an endpoint says of the requests a second that it
+  /// takes, to this daemon.
+  /// @param aLimit Nothing if it names no limit.
+  /// @return Whether the other daemons have to be told.
+  bool NoteLimit(const std::string& aEndpoint,
+                 std::optional<double> aLimit,
+                 TimePoint aNow);
+
+  /// @brief Records what an endpoint has said of its limit to another daemon.
+  /// @return True if it had named none before, or names none any more.
+  bool NoteReportedLimit(const LimitReport& aReport, TimePoint aNow);
+
+  /// @brief Limit that is kept for an endpoint; nothing if there is none.
+  std::optional<double> LimitOf(const std::string& aEndpoint) const
+  {
+    return m_limits.LimitOf(aEndpoint);
+  }
+
+  /// @brief Sets the share of each limit that may be used; see
+  /// FleetControl::LimitShare.
+  void SetLimitShare(double aShare) { m_limits.SetShare(aShare); }
+
   /// @brief Lifetime of an endpoint in the current view; 0 if unknown.
   std::uint64_t LifetimeOf(const std::string& aEndpoint) const;
 
@@ -211,7 +235,9 @@
   std::uint32_t FreeCapacity(const EndpointState& aState) const;
   bool IsInService(const EndpointState& aState, TimePoint aNow) const;
   bool AcceptsRequests(const EndpointState& aState, TimePoint aNow) const;
+  bool MaySendTo(const EndpointState& aState, TimePoint aNow) const;
   bool IsEligible(const EndpointState& aState, TimePoint aNow) const;
+  double SlotsWithinLimit(const EndpointState& aState) const;
   Duration RestOfService(TimePoint aNow) const;
   Candidate MakeCandidate(const EndpointState& aState,
                           const PlaceRequest& aRequest,
@@ -235,6 +261,7 @@
   std::map<std::string, EndpointState> m_endpoints;
   bool m_hasBadEvidence = false;
   EndpointNotices m_notices;
+  EndpointLimits m_limits;
 };
 
 } // namespace sapphirelane
--- a/include/sapphirelane/relay/work_board.h
+++ b/include/sapphirelane/relay/work_board.h
@@ -24,7 +24,8 @@
   /// @brief Applies the endpoints, accounts and services of a configuration.
   void Load(const FleetConfig& aConfig);
 
-  /// @brief Applies another daemon's update.
+  /// @brief Applies another daemon's update, in which EndpointWork::begun
+  /// counts only what has begun since its update before.
   /// @return Its evidence about endpoints that are known here, by service.
   std::vector<FleetEvidence> Take(const WorkNews& aUpdate, TimePoint aNow);
 
@@ -108,6 +109,8 @@
 
   std::map<std::uint32_t, EndpointWork>
     m_changedEndpoints; ///< Not reported yet.
+  /// Attempts of this daemon at each endpoint since its start.
+  std::unordered_map<std::uint32_t, std::uint32_t> m_begun;
   std::map<std::uint32_t, std::uint32_t> m_localSpent;
   std::map<std::uint32_t, ServiceWork> m_localServices;
   std::set<std::uint32_t> m_changedAccounts;
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -418,11 +418,12 @@
   std::uint16_t bad = 0;
   std::uint16_t shed = 0;
   std::uint16_t answer_ms = 0; ///< Mean time of those answered.
+  std::uint32_t begun = 0;     ///< Attempts since the start of the daemon.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(endpoint, in_flight, answered, bad, shed, answer_ms);
+    aArchive(endpoint, in_flight, answered, bad, shed, answer_ms, begun);
   }
 };
 
@@ -549,6 +550,22 @@
   }
 };
 
+/// @brief Tells what limit an endpoint has named, or that it names none.
+struct LimitNews
+{
+  bool spread = false; ///< The receiver sends it on in its data centre.
+  std::string endpoint;
+  std::uint64_t lifetime = 0; ///< Of the process that said so.
+  bool limited = false;       ///< It names a limit.
+  double limit = 0;           ///< Requests a second from all hosts together.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(spread, endpoint, lifetime, limited, limit);
+  }
+};
+
 /// @brief Asks a daemon of a store fleet who other daemons are.
 struct MembersAsk
 {
@@ -601,7 +618,8 @@
                                  ViewNews,
                                  LeaveNews,
                                  MembersAsk,
-                                 MembersNews>;
+                                 MembersNews,
+                                 LimitNews>;
 
 /// @brief Asks a peer for the newest head and what leads to it.
 struct FetchState
@@ -756,10 +774,10 @@
   /// address of a daemon that may answer, if it knows one.
   bool busy = false;
   std::string other;
-  std::uint32_t age_ms = 0;            ///< Since the store was asked.
-  std::uint64_t version = 0;           ///< Of the endpoints.
-  std::uint64_t digest = 0;            ///< Of the view, see FleetView::Digest.
-  std::uint64_t base = 0;              ///< Version that the endpoints follow on.
+  std::uint32_t age_ms = 0;  ///< Since the store was asked.
+  std::uint64_t version = 0; ///< Of the endpoints.
+  std::uint64_t digest = 0;  ///< Of the view, see FleetView::Digest.
+  std::uint64_t base = 0;    ///< Version that the endpoints follow on.
   std::vector<WireEndpoint> endpoints; ///< All of them if base is 0.
   /// See EncodeFleet, or a ConfigHistory difference; empty if the asker has it.
   std::string config;
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -75,7 +75,11 @@
     , m_retry(RetryRegistry::Make(m_options.policies.retry))
     , m_hedge(MakeRetryBudget(HedgeBudgetOptions()))
     , m_admission(m_options.limits, m_control)
-    , m_services(m_options.limits, m_options.policies, m_control, m_metrics)
+    , m_services(m_options.limits,
+                 m_options.policies,
+                 m_options.seed,
+                 m_control,
+                 m_metrics)
     , m_signals(m_options.dialect, m_control, m_metrics)
   {
   }
@@ -123,6 +127,7 @@
     ProcessControlEvents(aNow);
     CheckRequests(aNow);
     for (auto& entry : m_services.All()) {
+      entry.second.state->SetLimitShare(m_control.LimitShare());
       RefuseLate(entry.second, aNow);
       m_services.UpdateEjections(entry.first, aNow);
       m_services.LogIdleEndpoints(entry.first, aNow);
@@ -332,6 +337,15 @@
     }
   }
 
+  void OnControl(const LimitReport& aReport, TimePoint aNow)
+  {
+    ServiceEntry* service = m_services.Find(aReport.service);
+    if (service != nullptr) {
+      m_signals.OnReport(aReport, *service->state, aNow);
+      ServeQueue(aReport.service, aNow);
+    }
+  }
+
   void OnRepeatedClaim(std::uint64_t aId,
                        PendingRequest& aRequest,
                        const ClaimReply& aReply,
@@ -677,11 +691,16 @@
     } else {
       m_signals.Apply(aEvent.head, aRequest.service, *attempt, state, aNow);
     }
-    if (SaysNotRun(aEvent.head, dialect)) {
+    const bool notRun = SaysNotRun(aEvent.head, dialect);
+    const bool unverified = !notRun && IsUnverified(aEvent.head);
+    if (!attempt->misdirected && !unverified) {
+      m_signals.ApplyLimit(
+        aEvent.head, aRequest.service, *attempt, state, aNow);
+    }
+    if (notRun) {
       OnShedResponse(aId, aRequest, *attempt, aEvent.head.status, aNow);
       return;
     }
-    const bool unverified = IsUnverified(aEvent.head);
     const bool failed =
       aEvent.head.status >= kMinServerErrorStatus || unverified;
     const Duration elapsed = aNow - attempt->started;
--- a/src/sapphirelane/proxy/endpoint_signals.cpp
+++ b/src/sapphirelane/proxy/endpoint_signals.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
 namespace sapphirelane {
@@ -12,6 +13,33 @@
 constexpr int kServiceUnavailable = 503;
 constexpr std::chrono::minutes kMaxRetryAfter{ 10 };
 
+/// Limits above this are none: no endpoint takes as many requests.
+constexpr double kMaxLimit = 1e6;
+
+/// Reads an endpoint's limit. Two different ones are malformed.
+void
+ReadLimit(const ResponseHead& aHead,
+          const HttpDialect& aDialect,
+          EndpointSignals& aSignals)
+{
+  const std::string* first = FindHeader(aHead.headers, aDialect.limit);
+  if (first == nullptr) {
+    return;
+  }
+  const bool same = std::all_of(
+    aHead.headers.begin(), aHead.headers.end(), [&](const Header& aHeader) {
+      return !absl::EqualsIgnoreCase(aHeader.first, aDialect.limit) ||
+             aHeader.second == *first;
+    });
+  const auto limit = same ? ParseLimit(*first) : std::nullopt;
+  aSignals.limit_malformed = !limit;
+  if (!limit) {
+    aSignals.malformed.push_back(aDialect.limit);
+  } else if (*limit <= kMaxLimit) {
+    aSignals.limit = limit;
+  }
+}
+
 } // namespace
 
 std::optional<Duration>
@@ -27,6 +55,16 @@
     Seconds(std::min(seconds, maxSeconds)));
 }
 
+std::optional<double>
+ParseLimit(const std::string& aText)
+{
+  double limit = 0;
+  if (!absl::SimpleAtod(aText, &limit) || !std::isfinite(limit) || limit < 0) {
+    return std::nullopt;
+  }
+  return limit;
+}
+
 EndpointSignals
 ReadSignals(const ResponseHead& aHead, const HttpDialect& aDialect)
 {
@@ -45,6 +83,7 @@
       signals.malformed.push_back(aDialect.leaving);
     }
   }
+  ReadLimit(aHead, aDialect, signals);
   constexpr const char* kRetryAfter = "Retry-After";
   const std::string* retryAfter = FindHeader(aHead.headers, kRetryAfter);
   if (retryAfter != nullptr && aHead.status == kServiceUnavailable) {
--- a/src/sapphirelane/proxy/endpoint_signals_test.cpp
+++ b/src/sapphirelane/proxy/endpoint_signals_test.cpp
@@ -33,11 +33,49 @@
   }
 }
 
+TEST_CASE("ParseLimit, decimal number, is read")
+{
+  CHECK(ParseLimit("2") == 2);
+  CHECK(ParseLimit("1.6") == 1.6);
+  CHECK(ParseLimit("0") == 0);
+}
+
+TEST_CASE("ParseLimit, text that is no limit, is malformed")
+{
+  for (const char* text : { "", "few", "-1", "nan", "inf", "1/s", "1 2" }) {
+    INFO(text);
+    CHECK_FALSE(ParseLimit(text));
+  }
+}
+
+TEST_CASE("ReadSignals, limits that cannot be told or do not matter, are not "
+          "read")
+{
+  const HttpDialect dialect;
+  const auto read = [&](const Headers& aHeaders) {
+    return ReadSignals({ 200, aHeaders, std::nullopt }, dialect);
+  };
+  const EndpointSignals none = read({});
+  CHECK_FALSE(none.limit);
+  CHECK_FALSE(none.limit_malformed);
+  const EndpointSignals two =
+    read({ { dialect.limit, "1" }, { dialect.limit, "2" } });
+  CHECK_FALSE(two.limit);
+  CHECK(two.limit_malformed);
+  const EndpointSignals twice =
+    read({ { dialect.limit, "1.5" }, { "x-sapphirelane-limit", "1.5" } });
+  CHECK(twice.limit == 1.5);
+  const EndpointSignals huge = read({ { dialect.limit, "1e300" } });
+  CHECK_FALSE(huge.limit);
+  CHECK_FALSE(huge.limit_malformed);
+}
+
 TEST_CASE("ReadSignals, all headers present, reads each")
 {
   const HttpDialect dialect;
   const ResponseHead head{ 503,
                            { { "x-sapphirelane-load", "1/2" },
+                             { "x-sapphirelane-limit", "1.6" },
                              { "x-sapphirelane-leaving", "1" },
                              { "retry-after", "3" } },
                            std::nullopt };
@@ -45,6 +83,7 @@
   REQUIRE(signals.load);
   CHECK(signals.load->Share() == 0.5);
   CHECK(signals.leaving);
+  CHECK(signals.limit == 1.6);
   CHECK(signals.retry_after == Duration(std::chrono::seconds(3)));
   CHECK(signals.malformed.empty());
 }
@@ -64,14 +103,18 @@
   const ResponseHead head{ 503,
                            { { dialect.load, "many" },
                              { dialect.leaving, "yes" },
+                             { dialect.limit, "-1" },
                              { "Retry-After", "soon" } },
                            std::nullopt };
   const EndpointSignals signals = ReadSignals(head, dialect);
   CHECK_FALSE(signals.load);
   CHECK_FALSE(signals.leaving);
   CHECK_FALSE(signals.retry_after);
-  CHECK(signals.malformed == std::vector<std::string>{
-                               dialect.load, dialect.leaving, "Retry-After" });
+  CHECK_FALSE(signals.limit);
+  CHECK(signals.limit_malformed);
+  CHECK(signals.malformed ==
+        std::vector<std::string>{
+          dialect.load, dialect.leaving, dialect.limit, "Retry-After" });
 }
 
 } // namespace
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -45,10 +45,12 @@
 
 ServiceTable::ServiceTable(const LimitSettings& aLimits,
                            const PolicySettings& aPolicies,
+                           std::uint64_t aSeed,
                            FleetControl& aControl,
                            Metrics& aMetrics)
   : m_limits(aLimits)
   , m_policies(aPolicies)
+  , m_seed(aSeed)
   , m_control(aControl)
   , m_metrics(aMetrics)
 {
@@ -99,7 +101,8 @@
                                    ServiceStateOptions{ m_policies.pool,
                                                         m_policies.ahead,
                                                         m_control.DataCentre(),
-                                                        m_limits.proven });
+                                                        m_limits.proven,
+                                                        m_seed });
   aEntry.queue =
     QueueRegistry::Make(m_policies.queue, m_limits.queue_per_account);
 }
--- a/src/sapphirelane/proxy/service_book.h
+++ b/src/sapphirelane/proxy/service_book.h
@@ -32,6 +32,7 @@
 public:
   ServiceTable(const LimitSettings& aLimits,
                const PolicySettings& aPolicies,
+               std::uint64_t aSeed,
                FleetControl& aControl,
                Metrics& aMetrics);
 
@@ -59,6 +60,7 @@
 
   const LimitSettings m_limits;
   const PolicySettings m_policies;
+  const std::uint64_t m_seed; ///< Of random waits.
   FleetControl& m_control;
   Metrics& m_metrics;
   bool m_hasConfig = false;
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -65,6 +65,9 @@
 /// in requests.
 constexpr double kUnseenWorkCost = 0.1;
 
+/// Multiple of what an endpoint can do from which on its limit does not matter.
+constexpr double kNonBindingFactor = 4;
+
 /// Connection pools that one host may need while it renews its connections.
 constexpr std::size_t kPoolsPerHost = 1;
 
@@ -76,6 +79,7 @@
   : m_balancer(std::move(aBalancer))
   , m_ejector(std::move(aEjector))
   , m_options(std::move(aOptions))
+  , m_limits(m_options.seed)
 {
 }
 
@@ -115,6 +119,7 @@
     }
     m_notices.OnListed(id, restarted, aNow);
     if (restarted) {
+      m_limits.Reset(id);
       m_ejector->Reset(id);
       state.latency = Duration(0);
     }
@@ -134,6 +139,7 @@
     it = configured ? std::next(it) : m_endpoints.erase(it);
   }
   m_notices.RemoveExpired(aNow);
+  m_limits.RemoveExpired(aNow);
   const std::size_t size =
     SubsetSize(ids.size(), aHosts, connections, m_options.pool * kPoolsPerHost);
   auto subset = ChooseSubset(ids, aRank, size);
@@ -172,12 +178,34 @@
          !m_notices.RestsUntil(aState.endpoint.id, aNow);
 }
 
+/// Whether this host may send a request to an endpoint now. A limit that is
+/// shared is kept only by hosts that hear of the requests of the others.
+bool
+ServiceState::MaySendTo(const EndpointState& aState, TimePoint aNow) const
+{
+  const std::string& id = aState.endpoint.id;
+  const bool withinLimit =
+    !m_limits.LimitOf(id) || (aState.heard && m_limits.MaySend(id, aNow));
+  return AcceptsRequests(aState, aNow) && withinLimit;
+}
+
+/// Slots of an endpoint that its limit allows to be in use on average.
+double
+ServiceState::SlotsWithinLimit(const EndpointState& aState) const
+{
+  const double slots = aState.endpoint.slots;
+  const auto limit = m_limits.LimitOf(aState.endpoint.id);
+  if (!limit) {
+    return slots;
+  }
+  return aState.heard ? std::min(slots, *limit * ToSeconds(MeanLatency())) : 0;
+}
+
 bool
 ServiceState::IsEligible(const EndpointState& aState, TimePoint aNow) const
 {
   return aState.in_subset && FreeCapacity(aState) > 0 &&
-         AcceptsRequests(aState, aNow) &&
-         !m_ejector->IsEjected(aState.endpoint.id);
+         MaySendTo(aState, aNow) && !m_ejector->IsEjected(aState.endpoint.id);
 }
 
 Candidate
@@ -252,7 +280,7 @@
   std::vector<Candidate> avoided;
   for (auto& [id, state] : m_endpoints) {
     const bool getsTrial = aRequest.may_try && !state.trial_running &&
-                           state.in_subset && AcceptsRequests(state, aNow) &&
+                           state.in_subset && MaySendTo(state, aNow) &&
                            m_ejector->WantsTrial(id, aNow);
     if (getsTrial) {
       state.trial_running = true;
@@ -327,7 +355,7 @@
                                Random& aRandom) const
 {
   const auto isCounted = [this, aNow](const EndpointState& aState) {
-    return AcceptsRequests(aState, aNow) &&
+    return MaySendTo(aState, aNow) &&
            aNow - aState.last_failed_at > kRecentFailureTime && aState.heard;
   };
   const auto isIdle = [aNow](const EndpointState& aState) {
@@ -366,7 +394,8 @@
   for (const auto& entry : m_endpoints) {
     const EndpointState& state = entry.second;
     if (IsEligible(state, aNow)) {
-      free += FreeCapacity(state);
+      const bool limited = m_limits.LimitOf(entry.first).has_value();
+      free += limited ? 1 : FreeCapacity(state);
     }
   }
   return free;
@@ -380,6 +409,7 @@
     EndpointState& state = found->second;
     ++state.in_flight;
     state.last_used_at = aNow;
+    m_limits.RecordSent(aEndpoint, 1, aNow);
     state.idle_connections -= state.idle_connections > 0 ? 1 : 0;
   }
 }
@@ -414,8 +444,10 @@
   for (const auto& entry : m_endpoints) {
     const EndpointState& state = entry.second;
     if (AcceptsRequests(state, aNow)) {
-      slots += state.endpoint.slots;
-      ahead += state.in_flight + state.others_in_flight;
+      const double within = SlotsWithinLimit(state);
+      const double used = state.in_flight + state.others_in_flight;
+      slots += within;
+      ahead += within < state.endpoint.slots ? std::min(within, used) : used;
     }
   }
   if (slots == 0) {
@@ -493,6 +525,40 @@
   m_notices.RecordRetryAfter(aEndpoint, aTime, aNow);
 }
 
+bool
+ServiceState::NoteLimit(const std::string& aEndpoint,
+                        std::optional<double> aLimit,
+                        TimePoint aNow)
+{
+  auto found = m_endpoints.find(aEndpoint);
+  if (found == m_endpoints.end()) {
+    return false;
+  }
+  // A limit above all that the endpoint could do needs no messages.
+  const Endpoint& endpoint = found->second.endpoint;
+  const double seconds = ToSeconds(MeanLatency());
+  const bool binds =
+    aLimit && *aLimit * seconds < kNonBindingFactor * endpoint.slots;
+  const bool changed =
+    m_limits.Record(aEndpoint,
+                    { endpoint.lifetime, binds ? aLimit : std::nullopt, aNow },
+                    aNow);
+  const bool tell = changed || m_limits.IsRenewalDue(aEndpoint, aNow);
+  if (tell) {
+    m_limits.RecordTold(aEndpoint, aNow);
+  }
+  return tell;
+}
+
+bool
+ServiceState::NoteReportedLimit(const LimitReport& aReport, TimePoint aNow)
+{
+  const bool changed = m_limits.Record(
+    aReport.endpoint, { aReport.lifetime, aReport.limit, aNow }, aNow);
+  m_limits.RecordTold(aReport.endpoint, aNow);
+  return changed;
+}
+
 std::uint64_t
 ServiceState::LifetimeOf(const std::string& aEndpoint) const
 {
@@ -564,6 +630,7 @@
     }
     EndpointState& state = found->second;
     RecordUse(state, item, aNow);
+    m_limits.RecordSent(item.endpoint, item.begun, aNow);
     m_answers += item.answered;
     const Observation good{ WorkResult::Answered,
                             item.answer_time,
@@ -613,6 +680,9 @@
   if (!AcceptsRequests(aState, aNow)) {
     return "wants-no-requests";
   }
+  if (!MaySendTo(aState, aNow)) {
+    return "limited";
+  }
   if (m_ejector->IsEjected(aState.endpoint.id)) {
     return "ejected";
   }
@@ -632,6 +702,7 @@
 std::vector<EjectionChange>
 ServiceState::Judge(TimePoint aNow)
 {
+  m_limits.RemoveExpired(aNow);
   std::vector<JudgedEndpoint> judged;
   for (const auto& [id, state] : m_endpoints) {
     judged.push_back({ id,
--- a/src/sapphirelane/proxy/signal_handler.cpp
+++ b/src/sapphirelane/proxy/signal_handler.cpp
@@ -21,6 +21,20 @@
             .Add("from", aFrom));
 }
 
+void
+LogLimit(const LimitReport& aReport, const char* aFrom)
+{
+  LogFields fields;
+  fields.Add("endpoint", aReport.endpoint).Add("service", aReport.service);
+  if (aReport.limit) {
+    fields.Add("per_second", *aReport.limit);
+  }
+  LogLine("health",
+          aReport.limit ? "An endpoint names a limit."
+                        : "An endpoint names no limit any more.",
+          fields.Add("from", aFrom));
+}
+
 } // namespace
 
 void
@@ -58,6 +72,38 @@
   }
 }
 
+void
+SignalHandler::ApplyLimit(const ResponseHead& aHead,
+                          const std::string& aService,
+                          const Attempt& aAttempt,
+                          ServiceState& aState,
+                          TimePoint aNow)
+{
+  const EndpointSignals signals = ReadSignals(aHead, m_dialect);
+  if (signals.limit_malformed) {
+    return;
+  }
+  if (aState.NoteLimit(aAttempt.endpoint, signals.limit, aNow)) {
+    const LimitReport report{ aService,
+                              aAttempt.endpoint,
+                              aState.LifetimeOf(aAttempt.endpoint),
+                              aState.LimitOf(aAttempt.endpoint) };
+    LogLimit(report, "endpoint");
+    m_control.ShareLimit(report, aNow);
+    m_metrics.Count("upstream_limits_told_total", { { "service", aService } });
+  }
+}
+
+void
+SignalHandler::OnReport(const LimitReport& aReport,
+                        ServiceState& aState,
+                        TimePoint aNow)
+{
+  if (aState.NoteReportedLimit(aReport, aNow)) {
+    LogLimit(aReport, "peer");
+  }
+}
+
 void
 SignalHandler::OnReport(const LeaveReport& aReport,
                         ServiceState& aState,
--- a/src/sapphirelane/proxy/signal_handler.h
+++ b/src/sapphirelane/proxy/signal_handler.h
@@ -33,6 +33,20 @@
              ServiceState& aState,
              TimePoint aNow);
 
+  /// @brief Applies the limit that an endpoint names in a response, or that it
+  /// names none.
+  /// @param aHead Of a response that is known to be the endpoint's.
+  void ApplyLimit(const ResponseHead& aHead,
+                  const std::string& aService,
+                  const Attempt& aAttempt,
+                  ServiceState& aState,
+                  TimePoint aNow);
+
+  /// @brief Applies another daemon's report on an endpoint's limit.
+  void OnReport(const LimitReport& aReport,
+                ServiceState& aState,
+                TimePoint aNow);
+
   /// @brief Applies another daemon's report that an endpoint leaves.
   void OnReport(const LeaveReport& aReport,
                 ServiceState& aState,
--- a/src/sapphirelane/relay/load_exchange.cpp
+++ b/src/sapphirelane/relay/load_exchange.cpp
@@ -196,9 +196,13 @@
   } else if (aUpdate.spread) {
     m_sender.SendLocally(aUpdate, aNow);
   }
+  WorkNews advanced = aUpdate;
+  for (EndpointWork& work : advanced.endpoints) {
+    work.begun = received.AdvanceBegun(work);
+  }
   if (m_large) {
     m_counters.OnReport(aUpdate);
-    return m_load.Take(aUpdate, aNow);
+    return m_load.Take(advanced, aNow);
   }
   for (const AccountWork& work : aUpdate.accounts) {
     // Returned tokens decrease the counter.
@@ -210,7 +214,7 @@
   for (const ServiceWork& work : aUpdate.services) {
     OnService(received.AdvanceService(work), aNow);
   }
-  return m_load.Take(aUpdate, aNow);
+  return m_load.Take(advanced, aNow);
 }
 
 void
--- a/src/sapphirelane/relay/received_counters.h
+++ b/src/sapphirelane/relay/received_counters.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIRELANE_RELAY_RECEIVED_COUNTERS_H
 #define SAPPHIRELANE_RELAY_RECEIVED_COUNTERS_H
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -47,6 +48,16 @@
     return advance;
   }
 
+  /// @brief Stores the new value of the attempts begun at an endpoint.
+  /// @return How far it has advanced; 1 for the first report on an endpoint, as
+  /// each attempt is reported at once.
+  std::uint32_t AdvanceBegun(const EndpointWork& aWork)
+  {
+    const std::uint32_t first = std::min(1U, aWork.begun);
+    auto found = m_begun.try_emplace(aWork.endpoint, aWork.begun - first).first;
+    return aWork.begun - std::exchange(found->second, aWork.begun);
+  }
+
 private:
   using Counters = std::map<std::uint32_t, std::uint32_t>;
 
@@ -69,6 +80,7 @@
   /// Its messages were received from its start on, so that everything that it
   /// has counted is new here.
   bool m_sinceStart = false;
+  Counters m_begun;
   Counters m_spent;
   Counters m_requests;
   Counters m_extras;
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -1,6 +1,7 @@
 #include "sapphirelane/relay/store_fleet.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
@@ -39,8 +40,8 @@
 constexpr std::size_t kLargeFleetDaemons = 48;
 
 /// Daemons of each other data centre that forward the report of an endpoint
-/// that leaves. It is sent once; a daemon that does not get it learns from the
-/// endpoint or the view.
+/// that leaves or names a limit. It is sent once; a daemon that does not get it
+/// learns from the endpoint or the view.
 constexpr std::size_t kRelaysOfLeavesPerCentre = 2;
 
 /// Validity of a granted token. It only has to outlast the request, as no right
@@ -187,6 +188,19 @@
       update, m_sender.PickRelays(kRelaysOfLeavesPerCentre, aNow), aNow);
   }
 
+  void ShareLimit(const LimitReport& aReport, TimePoint aNow) override
+  {
+    LimitNews update;
+    update.endpoint = aReport.endpoint;
+    update.lifetime = aReport.lifetime;
+    update.limited = aReport.limit.has_value();
+    update.limit = aReport.limit.value_or(0);
+    m_sender.SendToAll(
+      update, m_sender.PickRelays(kRelaysOfLeavesPerCentre, aNow), aNow);
+  }
+
+  double LimitShare() const override { return m_quota.Share(); }
+
   double Shortfall(const std::string& aService, TimePoint aNow) override
   {
     // Requests that were lost at failed daemons are counted by no daemon, so
@@ -447,6 +461,31 @@
     }
   }
 
+  // Endpoints that name a limit.
+
+  void Handle(const std::string& /*aAddress*/,
+              const LimitNews& aUpdate,
+              TimePoint aNow)
+  {
+    if (aUpdate.spread) {
+      m_sender.SendLocally(aUpdate, aNow);
+    }
+    const FleetConfig* config = m_view.Config();
+    const bool valid =
+      !aUpdate.limited || (std::isfinite(aUpdate.limit) && aUpdate.limit >= 0);
+    if (config == nullptr || !valid) {
+      return;
+    }
+    auto found = config->endpoints.find(aUpdate.endpoint);
+    if (found != config->endpoints.end()) {
+      m_events.emplace_back(LimitReport{
+        found->second.service,
+        aUpdate.endpoint,
+        aUpdate.lifetime,
+        aUpdate.limited ? std::optional(aUpdate.limit) : std::nullopt });
+    }
+  }
+
   void AddEvidence(std::vector<FleetEvidence> aEvidence)
   {
     for (FleetEvidence& evidence : aEvidence) {
--- a/src/sapphirelane/relay/work_board.cpp
+++ b/src/sapphirelane/relay/work_board.cpp
@@ -76,6 +76,7 @@
     evidence.answered = work.answered;
     evidence.bad = work.bad;
     evidence.shed = work.shed;
+    evidence.begun = work.begun;
     evidence.answer_time = Milliseconds(work.answer_ms);
     evidence.in_flight = TotalInFlight(work.endpoint);
     FleetEvidence& service = byService[known->second.service];
@@ -171,6 +172,9 @@
   work.in_flight = SaturateTo16Bits(aReport.in_flight);
   work.bad = SaturateTo16Bits(work.bad + aReport.bad);
   work.shed = SaturateTo16Bits(work.shed + aReport.shed);
+  std::uint32_t& begun = m_begun[hash];
+  begun += aReport.begins || aReport.extra ? 1 : 0;
+  work.begun = begun;
   if (aReport.answered > 0) {
     const std::uint64_t previousSumMs =
       static_cast<std::uint64_t>(work.answer_ms) * work.answered;
