Do not take late updates of the view for an outage of the store

Cause: after an outage of the store an endpoint whose entry is gone stays in use for 2.2 s, as the entry may only have expired. A view that was 1.5 s old when it was refreshed counted as the end of an outage. Some endpoints that leave only have their entry removed; the daemons that learnt of it late then held them.

Change: 3 s, the shortest outage that can let an entry expire. The class: a fact about a shared part of the system that one host infers from its own delay.

Figures: the new test fails before (an entry removed after 2.0 s and 2.9 s without updates stays in use) and passes after; the tests of the hold after an outage of 10 s pass unchanged.

Ruled out: a view that claims a version whose changes it lacks; the view had the change, and kept the endpoint on purpose.

--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -17,8 +17,10 @@
 struct FleetViewOptions
 {
   /// The store counts as having been unreachable if the view was older than
-  /// this when it was refreshed.
-  Duration outage_after = Milliseconds(1500);
+  /// this when it was refreshed. An entry lasts for three heartbeats of 1.5 s,
+  /// the latest of which may be one interval old, so that no shorter outage
+  /// lets one expire. Updates that are lost or late make a view 2 s old.
+  Duration outage_after = Milliseconds(3000);
   /// How long after the store's recovery a removed endpoint stays in use. A
   /// live endpoint whose entry expired during the outage writes it again
   /// within 2 s.
--- a/src/sapphirelane/relay/fleet_view_test.cpp
+++ b/src/sapphirelane/relay/fleet_view_test.cpp
@@ -146,6 +146,21 @@
   CHECK_FALSE(Has("a"));
 }
 
+/// Guards against taking an own late update for an outage of the store, after
+/// which endpoints that have left got requests for the hold time.
+TEST_CASE_METHOD(ViewFixture,
+                 "FleetView, entry removed after updates were late, is removed "
+                 "at once")
+{
+  Apply(0, 10, { Listed("a", 7), Listed("b", 8) });
+  m_now += Milliseconds(2000);
+  Apply(10, 12, { Removed("a", 11) });
+  CHECK_FALSE(Has("a"));
+  m_now += Milliseconds(2900);
+  m_view.TakeUpdate(13, 0, { Removed("b", 13) }, Duration(0), m_now);
+  CHECK_FALSE(Has("b"));
+}
+
 TEST_CASE_METHOD(ViewFixture,
                  "FleetView, service with a connection limit, applies it to "
                  "each endpoint")
