Let some daemons send updates of the view on in large data centres

Cause: an update of the view left the link of its reader, and of the relay in each other data centre, once for each daemon there. 24 changes take 2 kB; where an eighth of 200 endpoints is replaced within a second, a reader at 10 Mbit/s is busy for most of it, and with 88 daemons in a data centre for longer. Same class as the fetches: state that all need, sent by one host.

Change: above 16 receivers, sqrt(n) of them, others each time, get the update with the addresses of those that they send it on to. What a daemon misses it finds by the digest of the next update.

--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -509,7 +509,9 @@
 /// @brief Part of an update of a daemon's view of the store.
 struct ViewNews
 {
-  bool spread = false;       ///< The receiver sends it on in its data centre.
+  bool spread = false; ///< The receiver sends it on in its data centre.
+  /// Addresses that the receiver sends it on to, without this list.
+  std::vector<std::string> forward_to;
   NodeId origin = 0;         ///< The daemon whose view it describes.
   std::uint64_t sent_ms = 0; ///< Uptime of the origin when it was sent.
   std::uint32_t age_ms = 0;  ///< Of the origin's view at that time.
@@ -524,6 +526,7 @@
   void serialize(Archive& aArchive)
   {
     aArchive(spread,
+             forward_to,
              origin,
              sent_ms,
              age_ms,
--- a/src/sapphirelane/relay/view_keeper.cpp
+++ b/src/sapphirelane/relay/view_keeper.cpp
@@ -1,6 +1,7 @@
 #include "sapphirelane/relay/view_keeper.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -52,6 +53,9 @@
 /// store, so that a lost datagram seldom makes a daemon fetch the whole view.
 constexpr Milliseconds kChangeRepeatTime{ 1000 };
 
+/// Receivers of an update above which others help to send it.
+constexpr std::size_t kMaxDirectReceivers = 16;
+
 /// Age in milliseconds, rounded up so that no receiver takes it for less.
 std::uint32_t
 AgeOnWire(Duration aAge)
@@ -268,10 +272,36 @@
     update.changes = ToWire(std::vector<EndpointChange>(first, first + size));
     first += size;
     update.last = first == changes.end();
-    m_sender.SendToAll(update, relays, aNow);
+    SpreadLocally(update, aNow);
+    m_sender.SendToRelays(update, relays);
   } while (first != changes.end());
 }
 
+/// Sends an update to the daemons of this data centre. In a large one a few
+/// daemons, which differ each time, each send it on to some others, so that no
+/// link carries it as often as there are daemons.
+void
+ViewReplica::SpreadLocally(ViewNews aUpdate, TimePoint aNow)
+{
+  auto addresses = m_peers.Neighbours(aNow);
+  aUpdate.forward_to.clear();
+  if (addresses.size() <= kMaxDirectReceivers) {
+    m_sender.SendTo(addresses, std::move(aUpdate));
+    return;
+  }
+  std::shuffle(addresses.begin(), addresses.end(), m_random);
+  const auto count = addresses.size();
+  const auto groups =
+    static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(count))));
+  for (std::size_t group = 0; group < groups; ++group) {
+    const auto first = static_cast<std::ptrdiff_t>(group * count / groups);
+    const auto last = static_cast<std::ptrdiff_t>((group + 1) * count / groups);
+    aUpdate.forward_to.assign(addresses.begin() + first + 1,
+                              addresses.begin() + last);
+    m_sender.SendTo({ addresses[static_cast<std::size_t>(first)] }, aUpdate);
+  }
+}
+
 void
 ViewReplica::OnUpdate(const std::string& aAddress,
                       const ViewNews& aUpdate,
@@ -293,10 +323,15 @@
   RecordSource(aAddress, ageBefore, aNow);
   LogDepartures(aAddress, aNow);
   m_onChange(aNow, "peer");
-  if (aUpdate.spread) {
+  if (aUpdate.spread || !aUpdate.forward_to.empty()) {
     ViewNews forwarded = aUpdate;
     forwarded.held_config = m_view.ConfigVersion();
-    m_sender.SendLocally(forwarded, aNow);
+    if (aUpdate.spread) {
+      SpreadLocally(std::move(forwarded), aNow);
+    } else {
+      const auto addresses = std::exchange(forwarded.forward_to, {});
+      m_sender.SendTo(addresses, std::move(forwarded));
+    }
   }
   const bool isLocal = m_peers.DataCentreAt(aAddress) == m_dataCentre;
   RecordNewerConfig(aUpdate.config_version, isLocal, aNow);
--- a/src/sapphirelane/relay/view_keeper.h
+++ b/src/sapphirelane/relay/view_keeper.h
@@ -80,6 +80,7 @@
   void ReadStore(TimePoint aNow);
   void ReadConfig();
   void SendUpdate(TimePoint aNow);
+  void SpreadLocally(ViewNews aUpdate, TimePoint aNow);
   void RecordNewerConfig(std::uint64_t aVersion, bool aIsLocal, TimePoint aNow);
   void FetchFromPeerIfStale(TimePoint aNow);
   void FetchFrom(const std::string& aAddress,
