--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -112,9 +112,9 @@
     std::optional<Endpoint> endpoint;
     /// Set if the entry was removed but is still in use until then.
     std::optional<TimePoint> remove_at;
-    TimePoint changed_at{};   ///< When its routing last changed here.
+    TimePoint changed_at{};            ///< When its routing last changed here.
     std::uint64_t routing_version = 0; ///< Version of that change, or later.
-    std::uint64_t digest = 0; ///< Its part of m_digest.
+    std::uint64_t digest = 0;          ///< Its part of m_digest.
 
     /// The entry in the store.
     std::optional<Endpoint> Stored() const
