--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,10 @@
-"""A planned stop while requests wait in the daemon for a slot.
+"""An endpoint turns a request away, runs it when the daemon sends it once more
+on the same connection, and a second copy of its first answer arrives late.
 
-TROUBLE=0 plays the same without the SIGTERM.
+TROUBLE=0 plays the same without the second copies.
 """
 import asyncio
+import collections
 import os
 import pathlib
 import sys
@@ -14,94 +16,150 @@
 import httpio  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CLIENTS = 70
-LIMIT_S = 40.0          # limit, work and slots as of lumina-sat's unlock-status
-WORK_S = 1.8
-SLOTS = 6
-SPREAD_S = 1.0          # in which the clients send
-STOP_AFTER_S = 1.5      # from the first request to SIGTERM
-
-
-class Result:
-    def __init__(self, request):
-        self.request = request
-        self.sent = 0.0
-        self.ended = 0.0
-        self.status = None
-        self.error = ""
-
-
-async def send(number, daemon, record, results):
-    await asyncio.sleep(SPREAD_S * number / CLIENTS)
-    request = f"{number:016x}"
-    result = results[request] = Result(request)
-    writer = None
-    try:
-        reader, writer = await asyncio.open_connection(daemon.address,
-                                                       daemon.front)
-        writer.write(httpio.request("GET", f"/unlock/{number}", [
+ATTEMPTS = int(os.environ.get("ATTEMPTS", "2"))   # max_attempts of the route
+SECONDS = 84.0          # of traffic
+CLIENTS = 60
+ENDPOINTS = 5
+LIMIT_S = 2.0
+WORK_S = 0.05
+# The two impairments come once in each cycle, as long and as strong as in the
+# days of the site file.
+CYCLE_S = 12.0
+SHED_SHARE, SHED_S = 0.55, 8.5            # srv_grey, how = "shed all"
+COPY_ENDPOINTS, COPY_SHARE = 3, 0.03      # garble, how = "extra late":
+COPY_AT_S, COPY_S = 1.0, 5.0              # 0.6 of the endpoints
+
+
+class GrayEndpoint(fleet.Endpoint):
+    """Turns a share of the requests away, and sends a second copy of some of
+    its answers where the next answer on that connection is expected."""
+
+    def __init__(self, *arguments, copies, **options):
+        super().__init__(*arguments, **options)
+        self.sends_copies = copies
+        self.arrivals = 0
+        self.answers = 0
+        self.copies = 0
+
+    def moment(self):
+        """Time in the cycle; negative before the traffic starts."""
+        begin = self.record.traffic_at
+        return -1.0 if begin is None else \
+            (time.monotonic() - begin) % CYCLE_S
+
+    def sheds(self, _request):
+        if not 0 <= self.moment() < SHED_S:
+            return False
+        self.arrivals += 1
+        return int(self.arrivals * SHED_SHARE) > \
+            int((self.arrivals - 1) * SHED_SHARE)
+
+    async def handle(self, message, connection):
+        copy = connection.pop("copy", None)
+        if copy is not None:
+            connection["writer"].write(copy)
+            self.copies += 1
+            self.record.note(f"copy     of an earlier answer by {self.name}")
+        answer = await super().handle(message, connection)
+        spoils = TROUBLE and self.sends_copies and \
+            COPY_AT_S <= self.moment() < COPY_AT_S + COPY_S
+        if spoils:
+            self.answers += 1
+            if int(self.answers * COPY_SHARE) > \
+                    int((self.answers - 1) * COPY_SHARE):
+                connection["copy"] = answer
+        return answer
+
+
+class Client:
+    """Sends one request after the other on a kept connection."""
+
+    def __init__(self, number, daemon, record, sent):
+        self.number = number
+        self.daemon = daemon
+        self.record = record
+        self.sent = sent         # request id -> status, or None
+        self.writer = None
+
+    async def run(self, until):
+        count = 0
+        while time.monotonic() < until:
+            count += 1
+            request = f"{self.number:04x}{count:012x}"
+            self.sent[request] = None
+            self.record.note(f"sent     {request}")
+            try:
+                message = await asyncio.wait_for(self.call(request),
+                                                 LIMIT_S + 1)
+                self.sent[request] = message.status
+                self.record.note(f"answered {request} {message.status}")
+                if message.headers.get("connection", "") == "close":
+                    self.leave()
+                if message.status != 200:
+                    wait = float(message.headers.get("retry-after", "0.1"))
+                    await asyncio.sleep(min(wait, LIMIT_S / 3))
+            except (httpio.Ended, OSError, asyncio.TimeoutError) as error:
+                self.record.note(f"ended    {request} {error}")
+                self.leave()
+        self.leave()
+
+    async def call(self, request):
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(
+                self.daemon.address, self.daemon.front)
+        self.writer.write(httpio.request("POST", f"/approve/{request}", [
             ("Host", fleet.HOST), ("X-Sapphirelane-Request-Id", request),
             ("X-Sapphirelane-Deadline-Ms", str(int(LIMIT_S * 1000))),
-            ("X-Sapphirelane-Credential", fleet.KEY)]))
-        result.sent = time.monotonic()
-        record.note(f"sent     {request}")
-        message = await asyncio.wait_for(httpio.read_message(reader),
-                                         LIMIT_S + 1)
-        result.status = message.status
-        record.note(f"answered {request} {message.status}")
-    except (httpio.Ended, OSError, asyncio.TimeoutError) as error:
-        result.error = str(error) or type(error).__name__
-        record.note(f"no answer {request}: {result.error}")
-    result.ended = time.monotonic()
-    if writer is not None:
-        writer.close()
+            ("X-Sapphirelane-Credential", fleet.KEY)], request.encode()))
+        return await httpio.read_message(self.reader)
+
+    def leave(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.writer = None
 
 
 async def case(record, files):
+    record.traffic_at = None
     store = fleet.Store()
     await store.start()
     fleet.write_config(store, 7, [fleet.Route(
-        "unlock", "/unlock/", "idempotent", "teren", LIMIT_S, 6.0,
-        priority=2)], ["teren"])
-    endpoints = [fleet.Endpoint(store, record, f"i-{number:04d}", "teren",
-                                slots=SLOTS, work_s=WORK_S) for number in range(2)]
+        "approve", "/approve/", "non_idempotent", "cueledger", LIMIT_S, 0.8,
+        max_attempts=ATTEMPTS)], ["cueledger"])
+    endpoints = [GrayEndpoint(store, record, f"i-{number:04d}", "cueledger",
+                              work_s=WORK_S, copies=number < COPY_ENDPOINTS)
+                 for number in range(ENDPOINTS)]
     for endpoint in endpoints:
         await endpoint.start()
     daemon = fleet.Daemon(store, files, 1, fleet.free_port(), [])
     daemon.start()
-    results = {}
+    sent = {}
     try:
         await daemon.wait_ready()
         await asyncio.sleep(fleet.BOUNDS["settle_window_s"])
-        work = [asyncio.create_task(send(i, daemon, record, results))
-                for i in range(CLIENTS)]
-        await asyncio.sleep(STOP_AFTER_S)
-        stopped = time.monotonic()
-        if TROUBLE:
-            stopped, _ = await fleet.Platform.stop(daemon, record)
-        await asyncio.gather(*work)
-        if not TROUBLE and daemon.child.poll() is not None:
-            raise fleet.CannotRun("the daemon ended")
+        record.traffic_at = time.monotonic()
+        until = time.monotonic() + SECONDS
+        await asyncio.gather(*(Client(i, daemon, record, sent).run(until)
+                               for i in range(CLIENTS)))
+        await asyncio.sleep(0.5)
+        ended = daemon.child.poll()
     finally:
         daemon.end()
-    ran = {run for one in endpoints for run, _, _ in one.runs}
-    arrived = {run for one in endpoints for run in one.seen}
-    cut = [one for one in results.values() if one.status is None]
-    # Those that an endpoint has are left aside: it may still be at work.
-    lost = [one for one in cut if one.request not in arrived and
-            one.sent < stopped and
-            one.ended - one.sent > fleet.BOUNDS["loss_slack_s"] and
-            one.ended - one.sent < LIMIT_S]
-    summary = (f"{len(results)} requests sent before SIGTERM; "
-               f"{sum(1 for o in results.values() if o.status == 200)} served, "
-               f"{sum(1 for o in results.values() if o.status == 503)} refused "
-               f"with 503, {len(cut)} without an answer, {len(ran)} run\n"
-               f"LOST: {len(lost)} connections ended without an answer to a "
-               f"request that no endpoint had got, "
-               f"{LIMIT_S:.0f} s limit: "
-               + ", ".join(f"{o.request[-2:]} {o.ended - stopped:.1f} s after "
-                           "SIGTERM" for o in lost[:5]))
-    return bool(lost), summary
+    runs = [run for one in endpoints for run, _, _ in one.runs]
+    times = collections.Counter(runs)
+    twice = sorted(run for run, count in times.items() if count > 1)
+    untrue = sorted(run for run in set(runs)
+                    if sent.get(run) in (408, 421, 429, 503))
+    served = sum(1 for status in sent.values() if status == 200)
+    if served < 100 or ended is not None:
+        raise fleet.CannotRun(f"{served} served, the daemon ended: {ended}")
+    copies = sum(one.copies for one in endpoints)
+    summary = (f"{len(sent)} non-idempotent requests sent, {served} served; "
+               f"{copies} second copies of an answer\n"
+               f"REFUSED: {len(untrue)} answered 503 although an endpoint ran "
+               f"them: {untrue[:10]}\n"
+               f"TWICE: {len(twice)} ran more than once: {twice[:10]}")
+    return bool(untrue or twice), summary
 
 
 if __name__ == "__main__":
--- a/review/lib/httpio.py
+++ b/review/lib/httpio.py
@@ -34,6 +34,8 @@
             OSError) as error:
         raise Ended(str(error) or type(error).__name__) from error
     lines = text[:-4].split("\r\n")
+    if len(lines[0].split(" ")) < 3:
+        raise Ended("no start line")
     headers = {}
     for line in lines[1:]:
         name, _, value = line.partition(":")
