--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -418,6 +418,8 @@
 
 def play(folder, case, limit_s=110):
     """Runs case(record, folder_for_files) and exits as the review asks."""
+    # Ended from outside, a case ends its daemons too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_COULD_NOT_RUN))
     record = Record(pathlib.Path(folder) / "record.txt")
     with tempfile.TemporaryDirectory(prefix="sapphirelane-review-") as files:
         try:
