Read messages with a parser that does not throw because of their bytes

Cause: Boost.Beast's parsers store every field, trailers included, in a container that throws std::length_error for a field of 65,534 bytes or more (fields.hpp, new_element). The size of the input was compared with the limit only after it had been parsed, and ScanHead looks at heads only. The exception left the event loop of the upstream client, or of the listener, and ended the process. So it could be brought about by an endpoint's trailer, by a caller's trailer without any key, and by a sound header where max_header_bytes is large.

Change: MessageParser derives from basic_parser, keeps the head as plain strings, and drops trailers and chunk extensions, which it bounds. A message that exceeds the bound fails with an error code, as any other malformed one: the attempt fails, or the caller gets 400; a header that the limit allows is passed on. Nothing that a peer sends reaches a container with a limit of its own.

--- a/src/sapphirelane/proxy/caller_front_test.cpp
+++ b/src/sapphirelane/proxy/caller_front_test.cpp
@@ -83,6 +83,53 @@
   CHECK_FALSE(m_requests.TakeOne(Duration(0)));
 }
 
+/// Start of a request with a body in chunks.
+std::string
+PostChunked(const std::string& aPath)
+{
+  return "POST " + aPath +
+         " HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+/// Guards against LOST: a trailer of 70,000 bytes, sent by a caller without a
+/// key, made the parser throw on the listener's thread, which ended the daemon.
+TEST_CASE_METHOD(ListenerFixture,
+                 "CallerListener, framing of a body is above the limit, "
+                 "answers 400 and serves other callers")
+{
+  const std::string junk(70000, 'z');
+  for (const std::string& body : { "1\r\nx\r\n0\r\nx:" + junk + "\r\n\r\n",
+                                   "1;x=" + junk + "\r\nx\r\n0\r\n\r\n",
+                                   "1\r\nx\r\n0;x=" + junk + "\r\n\r\n" }) {
+    RawConnection caller = RawConnection::Connect(m_address);
+    caller.Write(PostChunked("/1") + body);
+    CHECK(caller.ReadUntil("\r\n").find(" 400 ") != std::string::npos);
+    TakeRequest();
+  }
+  RawConnection other = RawConnection::Connect(m_address);
+  other.Write(Get("/2"));
+  Answer(TakeRequest(), "two");
+  CHECK(other.ReadUntil("two").find(" 200 ") != std::string::npos);
+}
+
+/// Guards against LOST: a header of 70,000 bytes that the configured limit
+/// allows made the parser throw, which ended the daemon.
+TEST_CASE_METHOD(ListenerFixture,
+                 "CallerListener, header of 70,000 bytes below the limit, is "
+                 "passed on")
+{
+  CallerLimits limits;
+  limits.head_bytes = 131072;
+  m_listener->SetLimits(limits);
+  const std::string value(70000, 'z');
+  RawConnection caller = RawConnection::Connect(m_address);
+  caller.Write("GET /1 HTTP/1.1\r\nHost: a\r\nX: " + value + "\r\n\r\n");
+  const ExchangePtr request = TakeRequest();
+  const std::string* header = FindHeader(request->Head().headers, "X");
+  REQUIRE(header != nullptr);
+  CHECK(*header == value);
+}
+
 TEST_CASE_METHOD(
   ListenerFixture,
   "CallerListener, caller disconnects with pipelined requests, is "
--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -218,7 +218,7 @@
     RejectInput(400, scan.error);
     return false;
   }
-  m_parser.emplace();
+  m_parser.emplace(m_context.limits.head_bytes);
   m_parser->header_limit(static_cast<std::uint32_t>(scan.size + 1));
   m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   boost::system::error_code error;
@@ -234,20 +234,15 @@
 void
 CallerSession::BeginRequest()
 {
-  const auto& message = m_parser->get();
   RequestHead head;
-  head.method = std::string(message.method_string());
-  head.target = std::string(message.target());
-  for (const auto& field : message) {
-    head.headers.emplace_back(field.name_string(), field.value());
-  }
-  constexpr unsigned kHttp11 = 11;
-  const bool isHttp11 = message.version() == kHttp11;
+  head.method = m_parser->Head().method;
+  head.target = m_parser->Head().target;
+  head.headers = m_parser->Head().headers;
+  constexpr int kHttp11 = 11;
+  const bool isHttp11 = m_parser->Head().version == kHttp11;
+  const std::string* expect = FindHeader(head.headers, "Expect");
   const bool expectsContinue =
-    absl::EqualsIgnoreCase(
-      absl::string_view(message[http::field::expect].data(),
-                        message[http::field::expect].size()),
-      "100-continue") &&
+    expect != nullptr && absl::EqualsIgnoreCase(*expect, "100-continue") &&
     m_pipeline.empty();
   const bool closesConnection = !m_parser->keep_alive();
   m_receiving = AddToPipeline(std::move(head));
@@ -313,16 +308,10 @@
   boost::system::error_code error;
   const std::size_t used = m_parser->put(m_input.data(), error);
   m_input.consume(used);
-  m_undelivered += std::exchange(m_parser->get().body(), std::string());
+  m_undelivered += m_parser->TakeBody();
   m_receivedBytes += m_undelivered.size();
   if (error && error != http::error::need_more) {
-    m_receiving->exchange->CallerBreak();
-    m_receiving->closes_connection = true;
-    m_inputEnded = true;
-    Refuse(*m_receiving->exchange,
-           { 400, Outcome::Unknown, "malformed", "the body cannot be read" },
-           m_context.dialect);
-    m_receiving.reset();
+    RejectBody("the body cannot be read: " + error.message());
     return false;
   }
   if (m_receivedBytes > m_context.limits.body_bytes) {
@@ -362,6 +351,18 @@
   m_parser.reset();
 }
 
+void
+CallerSession::RejectBody(const std::string& aDetail)
+{
+  m_receiving->exchange->CallerBreak();
+  m_receiving->closes_connection = true;
+  m_inputEnded = true;
+  Refuse(*m_receiving->exchange,
+         { 400, Outcome::Unknown, "malformed", aDetail },
+         m_context.dialect);
+  m_receiving.reset();
+}
+
 void
 CallerSession::RejectInput(int aStatus, const std::string& aDetail)
 {
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -9,10 +9,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "sapphirelane/proxy/exchange.h"
-#include "sapphirelane/proxy/stream_body.h"
+#include "sapphirelane/proxy/message_parser.h"
 
 namespace sapphirelane {
 
@@ -72,8 +71,6 @@
   bool IsOpen() const { return m_open; }
 
 private:
-  using Parser = boost::beast::http::request_parser<StreamBody>;
-
   /// A request and the progress of writing its response.
   struct PipelinedRequest
   {
@@ -96,6 +93,10 @@
   bool ForwardRequestBody();
   void FinishRequestBody();
 
+  /// Answers 400 to the request whose body is malformed and closes the
+  /// connection.
+  void RejectBody(const std::string& aDetail);
+
   /// Answers malformed input with an error and closes the connection.
   void RejectInput(int aStatus, const std::string& aDetail);
   PipelinedRequestPtr AddToPipeline(RequestHead aHead);
@@ -117,7 +118,7 @@
   Socket m_socket;
   SessionContext& m_context;
   boost::beast::flat_buffer m_input;
-  std::optional<Parser> m_parser;
+  std::optional<RequestParser> m_parser;
   PipelinedRequestPtr m_receiving; ///< Its body is being read.
   std::string m_undelivered; ///< Decoded, not yet accepted by the exchange.
   std::uint64_t m_receivedBytes = 0;
--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -309,6 +309,39 @@
   }
 }
 
+/// Guards against LOST: a trailer of 70,000 bytes in an answer made the parser
+/// throw on the client's thread, which ended the daemon.
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, framing of an answer is above the limit, "
+                 "fails the attempt and serves the next one")
+{
+  const std::string chunked = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string field = "x:" + std::string(70000, 'z') + "\r\n";
+  const std::string extension = ";x=" + std::string(70000, 'z') + "\r\n";
+  for (const std::string& answer :
+       { chunked + "1\r\nx\r\n0\r\n" + field + "\r\n",
+         chunked + "1" + extension + "x\r\n0\r\n\r\n",
+         chunked + "1\r\nx\r\n0" + extension + "\r\n",
+         "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n" + field +
+           "\r\n" }) {
+    Start(1);
+    RawConnection endpoint = m_listener.Accept();
+    endpoint.ReadUntil("\r\n\r\n");
+    endpoint.Write(answer);
+    AttemptEvent event = NextEvent();
+    event = event.kind == AttemptEvent::Kind::Head ? NextEvent() : event;
+    CHECK_FALSE(event.whole);
+    CHECK_FALSE(event.kept);
+  }
+  Start(2);
+  RawConnection next = m_listener.Accept();
+  next.ReadUntil("\r\n\r\n");
+  next.Write(FormatResponse("2", "two"));
+  CHECK(NextEvent().head.status == 200);
+  CHECK(NextEvent().whole);
+}
+
 TEST_CASE_METHOD(UpstreamClientFixture,
                  "UpstreamClient, body without an end that nobody reads, is "
                  "buffered within a bound")
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -23,7 +23,7 @@
 /// Largest single read, and about the largest single write.
 constexpr std::size_t kBlockBytes = 16384;
 
-/// Largest accepted head of a response.
+/// Largest accepted head of a response, and largest accepted trailers.
 constexpr std::size_t kMaxHeadBytes = 65536;
 
 /// Body size from which a delayed response is forwarded before it is complete.
@@ -174,7 +174,7 @@
     return;
   }
   StartTimer(m_attempt.give_up, "no answer in time");
-  m_parser.emplace();
+  m_parser.emplace(kMaxHeadBytes);
   m_output = FormatRequestHead(aNow);
   m_requestComplete = !m_attempt.has_body;
   m_maybeSent = true;
@@ -317,8 +317,8 @@
   m_connection->input.commit(aSize);
   while (!m_finished && ParseInput()) {
   }
-  // The parser waits for the end of a chunk's extension or of the trailers, and
-  // sets no limit to them.
+  // The parser checks the size of a chunk's extension and of the trailers only
+  // once they are complete.
   if (!m_finished && m_connection->input.size() > kMaxHeadBytes) {
     m_reusable = false;
     Finish(false, "the answer's framing is too long");
@@ -381,7 +381,7 @@
   if (!headWasDone && m_parser->is_header_done()) {
     OnResponseHead();
   }
-  const std::string body = std::exchange(m_parser->get().body(), std::string());
+  const std::string body = m_parser->TakeBody();
   if (m_headRead && !m_mismatched) {
     m_buffered += body;
     m_captureComplete =
@@ -393,7 +393,8 @@
       OnResponseComplete();
       return false;
     }
-    m_parser.emplace(); // An interim response, or one to another request.
+    m_parser.emplace(
+      kMaxHeadBytes); // An interim response, or one to another request.
     m_mismatched = false;
     return true;
   }
@@ -403,12 +404,9 @@
 void
 UpstreamTransfer::OnResponseHead()
 {
-  const auto& message = m_parser->get();
   ResponseHead head;
-  head.status = static_cast<int>(message.result_int());
-  for (const auto& field : message) {
-    head.headers.emplace_back(field.name_string(), field.value());
-  }
+  head.status = m_parser->Head().status;
+  head.headers = m_parser->Head().headers;
   if (head.status < kMinFinalStatus) {
     return;
   }
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -7,10 +7,9 @@
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "sapphirelane/proxy/connection_pool.h"
-#include "sapphirelane/proxy/stream_body.h"
+#include "sapphirelane/proxy/message_parser.h"
 #include "sapphirelane/proxy/upstream_io.h"
 
 namespace sapphirelane {
@@ -46,7 +45,6 @@
   /// Makes the exchange wake this transfer from now on.
   void RegisterWake();
 
-  using Parser = boost::beast::http::response_parser<StreamBody>;
   using Error = boost::system::error_code;
 
   void Connect();
@@ -86,7 +84,7 @@
   bool m_requestComplete = false; ///< All of it is written or in m_output.
   bool m_maybeSent = false;       ///< A byte may have been sent.
   bool m_callerAborted = false;
-  std::optional<Parser> m_parser;
+  std::optional<ResponseParser> m_parser;
   bool m_reading = false;
   bool m_receivedAny = false; ///< A byte of a response has arrived.
   bool m_mismatched = false;  ///< The response is to another request.
