Reject a body whose framing has no end

What callers saw: nothing, until the request's deadline.

Cause: a chunk's extension or trailers without an end fill the input buffer up to the size at which the socket is no longer read; the parser waits for more, and a connection with a request is never idle. Likewise, a head within a configured max_header_bytes above 131,072 could not be read as a whole.

Change: framing above the limit for heads is answered 400 and the connection is closed, as the upstream side does already. The size at which reading stops is never below that limit.

--- a/src/sapphirelane/proxy/caller_front_test.cpp
+++ b/src/sapphirelane/proxy/caller_front_test.cpp
@@ -112,6 +112,20 @@
   CHECK(other.ReadUntil("two").find(" 200 ") != std::string::npos);
 }
 
+/// Guards against a connection that was held until the request's deadline: the
+/// socket was no longer read once the unparsed input was large.
+TEST_CASE_METHOD(ListenerFixture,
+                 "CallerListener, framing of a body without an end, answers "
+                 "400")
+{
+  for (const char* body : { "1;x=", "0\r\nx:" }) {
+    RawConnection caller = RawConnection::Connect(m_address);
+    caller.Write(PostChunked("/1") + body + std::string(200000, 'z'));
+    CHECK(caller.ReadUntil("\r\n").find(" 400 ") != std::string::npos);
+    TakeRequest();
+  }
+}
+
 /// Guards against LOST: a header of 70,000 bytes that the configured limit
 /// allows made the parser throw, which ended the daemon.
 TEST_CASE_METHOD(ListenerFixture,
--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "sapphirelane/proxy/caller_session.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -27,7 +28,8 @@
 /// Response bytes collected for a single write to the socket.
 constexpr std::size_t kWriteBytes = 16384;
 
-/// Unparsed input above which the socket is no longer read.
+/// Unparsed input above which the socket is no longer read, unless a head may
+/// be larger.
 constexpr std::size_t kMaxUnparsedBytes = 131072;
 
 /// Time for the caller to close its side after the last response; allows for
@@ -137,7 +139,9 @@
 void
 CallerSession::Read()
 {
-  if (!m_open || m_reading || m_input.size() >= kMaxUnparsedBytes) {
+  const std::size_t limit =
+    std::max(kMaxUnparsedBytes, m_context.limits.head_bytes + 1);
+  if (!m_open || m_reading || m_input.size() >= limit) {
     return;
   }
   m_reading = true;
@@ -314,6 +318,11 @@
     RejectBody("the body cannot be read: " + error.message());
     return false;
   }
+  // Body bytes are always used, so what is left is framing without an end.
+  if (used == 0 && m_input.size() > m_context.limits.head_bytes) {
+    RejectBody("the framing of the body is above the limit");
+    return false;
+  }
   if (m_receivedBytes > m_context.limits.body_bytes) {
     Refuse(
       *m_receiving->exchange,
