Log the connection of an attempt, and what a stop cuts off

Lines on attempts name the connection by a number, and a stop that reaches its drain limit counts the requests by how far they have got.

--- a/include/sapphirelane/proxy/dispatcher.h
+++ b/include/sapphirelane/proxy/dispatcher.h
@@ -38,6 +38,9 @@
   /// @brief Refuses new requests from now on.
   virtual void Drain() = 0;
 
+  /// @brief Logs how far the requests have got that a stop cuts off.
+  virtual void LogUnfinished() const = 0;
+
   /// @brief Number of requests without a complete response.
   virtual std::size_t InFlight() const = 0;
 
--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -51,9 +51,10 @@
 
   std::uint64_t id = 0;
   Kind kind = Kind::End;
-  ResponseHead head;         ///< With Head.
-  bool whole = false;        ///< With End: the response is complete.
-  bool sent = true;          ///< With End: a byte may have been sent.
+  std::uint64_t connection = 0; ///< Number of its connection; 0 for none.
+  ResponseHead head;            ///< With Head.
+  bool whole = false;           ///< With End: the response is complete.
+  bool sent = true;             ///< With End: a byte may have been sent.
   bool caller_fault = false; ///< With End: the caller aborted the request body.
   bool kept = false;      ///< With End: its connection went back to the pool.
   bool stale = false;     ///< With End: the reused connection was dead.
--- a/src/sapphirelane/proxy/connection_pool.h
+++ b/src/sapphirelane/proxy/connection_pool.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_PROXY_CONNECTION_POOL_H
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,6 +24,7 @@
   {
   }
 
+  std::uint64_t number = 0; ///< In log lines; unique within the daemon.
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer input;
   std::string pool_key; ///< Endpoint, address and lifetime.
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -142,6 +142,25 @@
 
   void Drain() override { m_admission.StartDraining(); }
 
+  void LogUnfinished() const override
+  {
+    std::uint64_t unsent = m_earlyRequests.size();
+    std::uint64_t running = 0;
+    std::uint64_t responding = 0;
+    for (const auto& entry : m_requests) {
+      const RequestStage stage = entry.second.stage;
+      responding += stage == RequestStage::Responding ? 1 : 0;
+      running += stage == RequestStage::AwaitingResponse ? 1 : 0;
+      unsent += IsUnsent(stage) ? 1 : 0;
+    }
+    LogLine("entry",
+            "Requests are cut off.",
+            LogFields()
+              .Add("unsent", unsent)
+              .Add("running", running)
+              .Add("responding", responding));
+  }
+
   std::size_t InFlight() const override
   {
     return m_requests.size() + m_earlyRequests.size();
@@ -698,7 +717,7 @@
         aEvent.head, aRequest.service, *attempt, state, aNow);
     }
     if (notRun) {
-      OnShedResponse(aId, aRequest, *attempt, aEvent.head.status, aNow);
+      OnShedResponse(aId, aRequest, *attempt, aEvent, aNow);
       return;
     }
     const bool failed =
@@ -721,6 +740,7 @@
                   "The endpoint failed the request.",
                   RequestFields(aId)
                     .Add("endpoint", attempt->endpoint)
+                    .Add("connection", aEvent.connection)
                     .Add("status", aEvent.head.status)
                     .Add("receipt", unverified ? "missing" : "there")
                     .Add("elapsed_ms", elapsed));
@@ -789,6 +809,7 @@
                 RequestFields(aId)
                   .Add("status", head.status)
                   .Add("endpoint", attempt->endpoint)
+                  .Add("connection", aEvent.connection)
                   .Add("attempts", aRequest.attempts_made)
                   .Add("elapsed_ms", aNow - aRequest.exchange->Head().arrived));
     m_metrics.Observe("time_to_head_seconds",
@@ -802,7 +823,7 @@
   void OnShedResponse(std::uint64_t aId,
                       const PendingRequest& aRequest,
                       Attempt& aAttempt,
-                      int aStatus,
+                      const AttemptEvent& aEvent,
                       TimePoint aNow)
   {
     aAttempt.shed = true;
@@ -814,7 +835,8 @@
                 "The endpoint shed the request without running it.",
                 RequestFields(aId)
                   .Add("endpoint", aAttempt.endpoint)
-                  .Add("status", aStatus)
+                  .Add("connection", aEvent.connection)
+                  .Add("status", aEvent.head.status)
                   .Add("elapsed_ms", aNow - aAttempt.started));
     m_metrics.Count("sheds_total", { { "service", aRequest.service } });
     // A retry rereads the request body, so the attempt has to end first.
@@ -917,6 +939,7 @@
                 "The attempt failed.",
                 RequestFields(aId)
                   .Add("endpoint", aAttempt.endpoint)
+                  .Add("connection", aEvent.connection)
                   .Add("error", aEvent.error)
                   .Add("elapsed_ms", aNow - aAttempt.started)
                   .Add("sent", aEvent.sent ? "yes" : "no")
@@ -1002,8 +1025,7 @@
 
   void CheckRequest(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
   {
-    const bool unsent = aRequest.stage != RequestStage::AwaitingResponse &&
-                        aRequest.stage != RequestStage::Responding;
+    const bool unsent = IsUnsent(aRequest.stage);
     if (aRequest.is_repeat && unsent && aNow >= aRequest.deadline) {
       RefuseAdmitted(aId,
                      { 409,
--- a/src/sapphirelane/proxy/entry_app.cpp
+++ b/src/sapphirelane/proxy/entry_app.cpp
@@ -89,6 +89,10 @@
     std::this_thread::sleep_for(m_settings.balancer_notice);
     m_callerListener->StopListening();
     const bool allCompleted = WaitForRequests(drainDeadline);
+    if (!allCompleted) {
+      m_dispatch->PostWaiting(
+        [this](TimePoint) { m_dispatcher->LogUnfinished(); });
+    }
     LeaveFleet();
     StopThreads();
     LogLine("entry",
--- a/src/sapphirelane/proxy/pending_request.h
+++ b/src/sapphirelane/proxy/pending_request.h
@@ -20,6 +20,14 @@
   Responding,       ///< A response head was forwarded.
 };
 
+/// @brief Whether no attempt of a request in this stage is running.
+inline bool
+IsUnsent(RequestStage aStage)
+{
+  return aStage != RequestStage::AwaitingResponse &&
+         aStage != RequestStage::Responding;
+}
+
 /// @brief One attempt of a request.
 struct Attempt
 {
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -94,6 +94,7 @@
   }
   m_connection = std::make_shared<UpstreamConnection>(m_context.io);
   m_connection->pool_key = key;
+  m_connection->number = ++m_context.last_connection;
   Connect();
 }
 
@@ -450,6 +451,7 @@
   AttemptEvent event;
   event.id = m_attempt.id;
   event.kind = AttemptEvent::Kind::Head;
+  event.connection = m_connection->number;
   event.head = m_head;
   m_context.on_event(std::move(event));
 }
@@ -536,6 +538,7 @@
   event.body_kept = aComplete && m_captureComplete;
   event.kept_body = event.body_kept ? m_captured : std::string();
   event.error = aError;
+  event.connection = m_connection == nullptr ? 0 : m_connection->number;
   event.kept = ReleaseConnection();
   m_context.on_event(std::move(event));
   if (m_forwarding) {
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -22,6 +22,7 @@
   ConnectionPool& pool;
   std::function<void(AttemptEvent)> on_event;
   std::function<void(std::uint64_t)> on_done; ///< Deletes the transfer.
+  std::uint64_t last_connection = 0;          ///< Number of the newest one.
 };
 
 /// @brief Performs one attempt: sends the request and reads its response.
