Never send a request twice on one connection to an endpoint

Cause: answers are told apart by the request id that they repeat, and the attempts of a request have the same id. An endpoint rejected the first attempt, the connection went back to the pool, and the second attempt took it again. A late copy of the rejection then stood where the second answer was due, with the id that was expected, while the endpoint ran the request.

Change: a connection remembers the requests that were sent on it, and the pool passes it over for these. Other requests still use it, so that a new connection is opened only if no other idle one is left. Callers that repeat an id by themselves are covered too. A connection is closed after 1,024 requests, which bounds the memory.

The test "further attempt of a request, does not use a connection on which an earlier attempt was answered" failed before: no second connection was opened.

--- a/src/sapphirelane/proxy/connection_pool.cpp
+++ b/src/sapphirelane/proxy/connection_pool.cpp
@@ -10,21 +10,32 @@
 /// responses are not reused; it spans the usual episode of such a fault.
 constexpr std::chrono::seconds kNoReuseTime{ 10 };
 
+/// Bounds the memory for the ids of a connection's requests.
+constexpr std::size_t kMaxRequestsPerConnection = 1024;
+
 } // namespace
 
 UpstreamConnectionPtr
 ConnectionPool::Acquire(const std::string& aKey,
+                        std::uint64_t aRequest,
                         Duration aMaxIdleTime,
                         TimePoint aNow)
 {
   auto found = m_idle.find(aKey);
-  while (found != m_idle.end() && !found->second.empty()) {
-    // Last in, first out: the back is the most recently used one.
-    UpstreamConnectionPtr connection = found->second.back();
+  if (found == m_idle.end()) {
+    return nullptr;
+  }
+  auto& idle = found->second;
+  // Last in, first out: the back is the most recently used one.
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    UpstreamConnectionPtr connection = idle[i];
     if (aNow - connection->last_used > aMaxIdleTime) {
       return nullptr;
     }
-    found->second.pop_back();
+    if (connection->sent_requests.contains(aRequest)) {
+      continue;
+    }
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     boost::system::error_code error;
     connection->socket.cancel(error);
     const bool strayBytes = connection->socket.available(error) > 0;
@@ -44,8 +55,10 @@
 {
   auto forbidden = m_noReuseUntil.find(aConnection->pool_key);
   auto& idle = m_idle[aConnection->pool_key];
-  const bool reuses = forbidden == m_noReuseUntil.end() ||
-                      aConnection->last_used >= forbidden->second;
+  const bool forbids = forbidden != m_noReuseUntil.end() &&
+                       aConnection->last_used < forbidden->second;
+  const bool reuses =
+    !forbids && aConnection->sent_requests.size() < kMaxRequestsPerConnection;
   if (!reuses || idle.size() >= m_maxIdlePerEndpoint) {
     boost::system::error_code ignored;
     aConnection->socket.close(ignored);
--- a/src/sapphirelane/proxy/connection_pool.h
+++ b/src/sapphirelane/proxy/connection_pool.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include <absl/container/flat_hash_set.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -31,6 +32,8 @@
   TimePoint last_used{};
   TimePoint expires_at{}; ///< Not reused at or after this time.
   bool reused = false;    ///< It has served an earlier attempt.
+  /// Hashes of the ids of the requests that were sent on it.
+  absl::flat_hash_set<std::uint64_t> sent_requests;
 };
 
 using UpstreamConnectionPtr = std::shared_ptr<UpstreamConnection>;
@@ -42,6 +45,10 @@
 /// that sends such bytes may send them late as well, when a connection is in
 /// use again and they break the response that is due there; so none of its
 /// connections is reused for a while.
+///
+/// Responses are told apart by the request id that they repeat. Two attempts of
+/// one request have the same id, so they never share a connection: a late copy
+/// of the first response would be taken for the second.
 class ConnectionPool
 {
 public:
@@ -51,14 +58,17 @@
   }
 
   /// @brief Removes the most recently used healthy connection from the pool.
+  /// @param aRequest Hash of a request's id; connections on which it was sent
+  /// are passed over.
   /// @param aMaxIdleTime Longest time since its last use.
   /// @return The connection, or nullptr if there is none.
   UpstreamConnectionPtr Acquire(const std::string& aKey,
+                                std::uint64_t aRequest,
                                 Duration aMaxIdleTime,
                                 TimePoint aNow);
 
-  /// @brief Returns a connection for reuse, unless the pool is full or the
-  /// endpoint's connections are not reused.
+  /// @brief Returns a connection for reuse, unless the pool is full, the
+  /// endpoint's connections are not reused, or it has carried many requests.
   /// @return False if it was closed.
   bool Release(const UpstreamConnectionPtr& aConnection);
 
--- a/src/sapphirelane/proxy/loopback.h
+++ b/src/sapphirelane/proxy/loopback.h
@@ -86,6 +86,13 @@
     return RawConnection(Socket(accept(m_socket.Get(), nullptr, nullptr)));
   }
 
+  /// @return Whether somebody has connected within a time.
+  bool AwaitsAccept(Milliseconds aTime) const
+  {
+    pollfd descriptor{ m_socket.Get(), POLLIN, 0 };
+    return poll(&descriptor, 1, static_cast<int>(aTime.count())) > 0;
+  }
+
 private:
   Socket m_socket;
 };
--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -43,6 +43,14 @@
   }
 
   void Start(std::uint64_t aId, bool aBufferResponse = true)
+  {
+    StartAttempt(aId, aId, aBufferResponse);
+  }
+
+  /// Starts an attempt of the request whose id is aRequest.
+  void StartAttempt(std::uint64_t aId,
+                    std::uint64_t aRequest,
+                    bool aBufferResponse = true)
   {
     RequestHead head;
     m_exchange = std::make_shared<Exchange>(head, 65536);
@@ -55,9 +63,9 @@
     params.address = m_listener.Address();
     params.method = "GET";
     params.target = "/x";
-    params.headers = { { "Id", std::to_string(aId) } };
+    params.headers = { { "Id", std::to_string(aRequest) } };
     params.echo_header = "Id";
-    params.echo = std::to_string(aId);
+    params.echo = std::to_string(aRequest);
     params.hold = aBufferResponse;
     const TimePoint farFuture = Clock::now() + std::chrono::minutes(5);
     params.send_before = farFuture;
@@ -132,6 +140,36 @@
   CHECK(ReadResponseBody() == "two");
 }
 
+/// Guards against REFUSED: a request was rejected, sent again on the same
+/// connection, and the late copy of the rejection was taken for the answer to
+/// the second attempt, which ran.
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, further attempt of a request, does not use a "
+                 "connection on which an earlier attempt was answered")
+{
+  const std::string rejection =
+    "HTTP/1.1 503 Busy\r\nId: 7\r\nContent-Length: 0\r\n\r\n";
+  StartAttempt(1, 7);
+  RawConnection first = m_listener.Accept();
+  first.ReadUntil("\r\n\r\n");
+  first.Write(rejection);
+  CHECK(NextEvent().head.status == 503);
+  CHECK(NextEvent().kept);
+  StartAttempt(2, 7);
+  REQUIRE(m_listener.AwaitsAccept(Milliseconds(10000)));
+  RawConnection second = m_listener.Accept();
+  second.ReadUntil("\r\n\r\n");
+  second.Write(FormatResponse("7", "ran"));
+  CHECK(NextEvent().head.status == 200);
+  CHECK(NextEvent().kept);
+  // Other requests still use the connection.
+  StartAttempt(3, 8);
+  second.ReadUntil("Id: 8\r\n");
+  second.Write(FormatResponse("8", "other"));
+  CHECK(NextEvent().head.status == 200);
+  CHECK(NextEvent().whole);
+}
+
 TEST_CASE_METHOD(UpstreamClientFixture,
                  "UpstreamClient, bytes on an idle connection, closes it")
 {
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include "sapphirelane/base/hash.h"
 #include "sapphirelane/claims/claim.h"
 #include "sapphirelane/proxy/head_scan.h"
 
@@ -86,7 +87,8 @@
   const std::string key = absl::StrCat(
     m_attempt.endpoint, "@", m_attempt.address, "/", m_attempt.lifetime);
   if (!m_attempt.new_connection) {
-    m_connection = m_context.pool.Acquire(key, m_attempt.unused_for, aNow);
+    m_connection = m_context.pool.Acquire(
+      key, StableHash(m_attempt.echo), m_attempt.unused_for, aNow);
   }
   if (m_connection != nullptr) {
     SendRequest(aNow);
@@ -178,6 +180,7 @@
   m_parser.emplace(kMaxHeadBytes);
   m_output = FormatRequestHead(aNow);
   m_requestComplete = !m_attempt.has_body;
+  m_connection->sent_requests.insert(StableHash(m_attempt.echo));
   m_maybeSent = true;
   WriteOutput();
   Read();
