Refuse requests in time that a planned stop would cut off

Cause: the stop waited for all requests until its drain limit and then closed the connections. Nothing told the dispatcher of the stop, so that it went on as usual: it kept requests waiting for a turn that came too late, and started requests that could not be finished (Dispatcher::Drain had no caller).

When the stop begins, requests whose turn comes later are refused at once with 503, not run; others when they have become too late. New attempts, hedges and retries keep to it too, so that what runs is finished. New requests are served while time is left. Drain is replaced by BeginStop.

The test of Drain now has a stop that is about to end in place of one without an end; a new request is refused in both, and one early in a stop has a test of its own.

--- a/include/sapphirelane/proxy/dispatcher.h
+++ b/include/sapphirelane/proxy/dispatcher.h
@@ -35,8 +35,10 @@
   /// @brief Checks deadlines, stalls, endpoint health and the configuration.
   virtual void OnTick(TimePoint aNow) = 0;
 
-  /// @brief Refuses new requests from now on.
-  virtual void Drain() = 0;
+  /// @brief Begins a planned stop: from now on, requests that would not be
+  /// finished at its end are refused instead of started.
+  /// @param aEnd Time at which the daemon closes its connections.
+  virtual void BeginStop(TimePoint aEnd, TimePoint aNow) = 0;
 
   /// @brief Logs how far the requests have got that a stop cuts off.
   virtual void LogUnfinished() const = 0;
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "sapphirelane/admission/start_limits.h"
+#include "sapphirelane/admission/stop_schedule.h"
 #include "sapphirelane/base/hash.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/proxy/attempt_order.h"
@@ -44,6 +45,8 @@
 /// enough for other daemons to avoid it for the length of a fault episode.
 constexpr std::uint32_t kMisdirectedFailureCount = 3;
 
+constexpr Milliseconds kMinRetryAfter{ 50 };
+
 constexpr int kMinSuccessStatus = 200;
 constexpr int kMinRedirectStatus = 300;
 
@@ -140,7 +143,12 @@
     }
   }
 
-  void Drain() override { m_admission.StartDraining(); }
+  void BeginStop(TimePoint aEnd, TimePoint aNow) override
+  {
+    m_stop.Begin(aEnd);
+    AdmitEarlyRequests(aNow);
+    RefuseTooManyWaiting(aNow);
+  }
 
   void LogUnfinished() const override
   {
@@ -176,7 +184,7 @@
   bool AwaitsConfig(TimePoint aNow)
   {
     m_startedAt = m_startedAt == TimePoint{} ? aNow : m_startedAt;
-    return m_control.Config() == nullptr &&
+    return m_control.Config() == nullptr && !m_stop.HasBegun() &&
            aNow - m_startedAt < kConfigWaitTimeout;
   }
 
@@ -422,6 +430,10 @@
     const Duration wait =
       service.state->ExpectedWait(service.queue->SizeAhead(queued), aNow);
     if (wait > queued.start_for_deadline - aNow) {
+      if (StartLimitOfStop(service) < queued.deadline) {
+        RefuseForStop(aId, aNow);
+        return;
+      }
       RefuseAdmitted(aId,
                      { 503,
                        Outcome::NotRun,
@@ -455,7 +467,8 @@
                                               aRequest.deadline },
                                             aState.MeanLatency());
     queued.start_for_target = limits.for_target;
-    queued.start_for_deadline = limits.for_deadline;
+    queued.start_for_deadline =
+      std::min(limits.for_deadline, m_stop.LatestStart(aState.MeanLatency()));
     return queued;
   }
 
@@ -475,10 +488,62 @@
     }
   }
 
+  /// Latest start of the service's requests in view of a planned stop.
+  TimePoint StartLimitOfStop(const ServiceEntry& aService) const
+  {
+    return m_stop.LatestStart(aService.state->MeanLatency());
+  }
+
+  /// Whether a planned stop leaves too little time to start a request.
+  bool IsTooLateForStop(const PendingRequest& aRequest, TimePoint aNow)
+  {
+    const ServiceEntry* service =
+      m_stop.HasBegun() ? m_services.Find(aRequest.service) : nullptr;
+    return service != nullptr && aNow > StartLimitOfStop(*service);
+  }
+
+  /// Refuses the waiting requests whose turn would come too late for the stop.
+  /// The others are refused when they have become too late.
+  void RefuseTooManyWaiting(TimePoint aNow)
+  {
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> waiting;
+    for (const auto& [id, request] : m_requests) {
+      if (request.stage == RequestStage::Queued) {
+        waiting.emplace_back(request.priority, id);
+      }
+    }
+    std::sort(waiting.begin(), waiting.end());
+    std::map<std::string, std::size_t> kept;
+    for (const auto& [priority, id] : waiting) {
+      const std::string& name = m_requests.at(id).service;
+      const ServiceEntry* service = m_services.Find(name);
+      if (service == nullptr) {
+        continue;
+      }
+      std::size_t& ahead = kept[name];
+      if (service->state->ExpectedWait(ahead, aNow) >
+          StartLimitOfStop(*service) - aNow) {
+        RefuseForStop(id, aNow);
+      } else {
+        ++ahead;
+      }
+    }
+  }
+
+  void RefuseForStop(std::uint64_t aId, TimePoint aNow)
+  {
+    RefuseAdmitted(aId,
+                   { 503,
+                     Outcome::NotRun,
+                     "stopping",
+                     "this host is being stopped",
+                     kMinRetryAfter },
+                   aNow);
+  }
+
   /// Retry-After of a refused request: the expected queueing time.
   static Milliseconds RetryAfter(Duration aWait)
   {
-    constexpr Milliseconds kMinRetryAfter{ 50 };
     constexpr Milliseconds kMaxRetryAfter = std::chrono::minutes(1);
     return std::clamp(
       std::chrono::ceil<Milliseconds>(aWait), kMinRetryAfter, kMaxRetryAfter);
@@ -629,6 +694,9 @@
                        PendingRequest& aRequest,
                        TimePoint aNow)
   {
+    if (IsTooLateForStop(aRequest, aNow)) {
+      return false;
+    }
     ServiceEntry& service = m_services.At(aRequest.service);
     const bool safe = MayResend(aRequest);
     PlaceRequest place;
@@ -1026,7 +1094,8 @@
   void CheckRequest(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
   {
     const bool unsent = IsUnsent(aRequest.stage);
-    if (aRequest.is_repeat && unsent && aNow >= aRequest.deadline) {
+    const bool stops = unsent && IsTooLateForStop(aRequest, aNow);
+    if (aRequest.is_repeat && unsent && (stops || aNow >= aRequest.deadline)) {
       RefuseAdmitted(aId,
                      { 409,
                        Outcome::Unknown,
@@ -1044,6 +1113,10 @@
                      aNow);
       return;
     }
+    if (stops) {
+      RefuseForStop(aId, aNow);
+      return;
+    }
     const bool runOnce = aRequest.route.mode == RouteMode::RunOnce;
     if (!(runOnce && !unsent) && aRequest.exchange->IsCallerGone()) {
       Abandon(aId, aRequest, aNow);
@@ -1328,6 +1401,7 @@
   TimePoint m_startedAt{}; ///< Time of the first tick or request.
   TimePoint m_nextGauge{};
   AdmissionController m_admission;
+  StopSchedule m_stop;
   ServiceTable m_services;
   SignalHandler m_signals;
   std::unordered_map<std::uint64_t, PendingRequest> m_requests;
--- a/src/sapphirelane/proxy/entry_app.cpp
+++ b/src/sapphirelane/proxy/entry_app.cpp
@@ -83,6 +83,9 @@
               .Add("drain_ms", Duration(m_settings.drain)));
     const TimePoint drainDeadline = Clock::now() + m_settings.drain;
     m_api->SetStopping();
+    m_dispatch->PostWaiting([this, drainDeadline](TimePoint aNow) {
+      m_dispatcher->BeginStop(drainDeadline, aNow);
+    });
     m_callerListener->CloseAfterAnswers();
     m_fleet->Announce(true);
     // Keeps accepting until the load balancer has seen /readyz fail.
--- a/src/sapphirelane/proxy/entry_app_test.cpp
+++ b/src/sapphirelane/proxy/entry_app_test.cpp
@@ -1,6 +1,8 @@
 #include "sapphirelane/proxy/entry_app.h"
 
 #include <atomic>
+#include <functional>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -193,20 +195,18 @@
   return std::make_unique<CallerIdDialect>();
 });
 
-/// Answers each request with its target, and once more a few milliseconds
-/// later.
-class RepeatingEndpoint
+/// Endpoint with a thread for each connection.
+class ThreadedEndpoint
 {
 public:
-  /// @param aEchoHeader Header of the request that it repeats in its answers;
-  /// empty for none.
-  explicit RepeatingEndpoint(std::string aEchoHeader)
-    : m_echoHeader(std::move(aEchoHeader))
+  /// @param aServe Serves one connection until it ends.
+  explicit ThreadedEndpoint(std::function<void(RawConnection&)> aServe)
+    : m_serve(std::move(aServe))
     , m_acceptor([this] { Accept(); })
   {
   }
 
-  ~RepeatingEndpoint()
+  ~ThreadedEndpoint()
   {
     m_stopping = true;
     RawConnection::Connect(m_listener.Address());
@@ -217,7 +217,6 @@
   }
 
   std::string Address() const { return m_listener.Address(); }
-  std::size_t Connections() const { return m_connections; }
 
 private:
   void Accept()
@@ -225,45 +224,79 @@
     while (!m_stopping) {
       auto connection = std::make_shared<RawConnection>(m_listener.Accept());
       if (!m_stopping) {
-        ++m_connections;
-        m_threads.emplace_back([this, connection] { Serve(*connection); });
-      }
-    }
-  }
-
-  void Serve(RawConnection& aConnection) const
-  {
-    for (;;) {
-      const std::string head = aConnection.ReadUntil("\r\n\r\n");
-      const std::size_t start = head.find(' ') + 1;
-      const std::string target =
-        head.substr(start, head.find(' ', start) - start);
-      std::string answer = "HTTP/1.1 200 OK\r\n";
-      const std::size_t echo =
-        m_echoHeader.empty() ? std::string::npos : head.find(m_echoHeader);
-      if (echo != std::string::npos) {
-        answer += head.substr(echo, head.find("\r\n", echo) + 2 - echo);
-      }
-      answer += "Content-Length: " + std::to_string(target.size()) +
-                "\r\n\r\n" + target;
-      if (head.empty() || !aConnection.Write(answer)) {
-        return;
-      }
-      std::this_thread::sleep_for(Milliseconds(4));
-      if (!aConnection.Write(answer)) {
-        return;
+        m_threads.emplace_back([this, connection] { m_serve(*connection); });
       }
     }
   }
 
-  std::string m_echoHeader;
+  std::function<void(RawConnection&)> m_serve;
   RawListener m_listener;
   std::atomic<bool> m_stopping{ false };
-  std::atomic<std::size_t> m_connections{ 0 };
   std::vector<std::thread> m_threads;
   std::thread m_acceptor;
 };
 
+/// The answer to a request: its target.
+/// @param aEchoHeader Header of the request that it repeats; empty for none.
+std::string
+FormatAnswer(const std::string& aRequestHead, const std::string& aEchoHeader)
+{
+  const std::size_t start = aRequestHead.find(' ') + 1;
+  const std::string target =
+    aRequestHead.substr(start, aRequestHead.find(' ', start) - start);
+  std::string answer = "HTTP/1.1 200 OK\r\n";
+  const std::size_t echo =
+    aEchoHeader.empty() ? std::string::npos : aRequestHead.find(aEchoHeader);
+  if (echo != std::string::npos) {
+    answer +=
+      aRequestHead.substr(echo, aRequestHead.find("\r\n", echo) + 2 - echo);
+  }
+  return answer + "Content-Length: " + std::to_string(target.size()) +
+         "\r\n\r\n" + target;
+}
+
+/// Answers each request with its target, and once more a few milliseconds
+/// later.
+class RepeatingEndpoint : public ThreadedEndpoint
+{
+public:
+  explicit RepeatingEndpoint(const std::string& aEchoHeader)
+    : ThreadedEndpoint([aEchoHeader](RawConnection& aConnection) {
+      for (;;) {
+        const std::string head = aConnection.ReadUntil("\r\n\r\n");
+        const std::string answer = FormatAnswer(head, aEchoHeader);
+        if (head.empty() || !aConnection.Write(answer)) {
+          return;
+        }
+        std::this_thread::sleep_for(Milliseconds(4));
+        if (!aConnection.Write(answer)) {
+          return;
+        }
+      }
+    })
+  {
+  }
+};
+
+/// Answers each request with its target after some time.
+class SlowEndpoint : public ThreadedEndpoint
+{
+public:
+  explicit SlowEndpoint(Milliseconds aTime)
+    : ThreadedEndpoint([aTime](RawConnection& aConnection) {
+      for (;;) {
+        const std::string head = aConnection.ReadUntil("\r\n\r\n");
+        if (head.empty()) {
+          return;
+        }
+        std::this_thread::sleep_for(aTime);
+        aConnection.Write(FormatAnswer(head, "X-Sapphirelane-Request"));
+      }
+    })
+  {
+  }
+};
+
 /// Runs a daemon before one endpoint.
 class EntryAppFixture
 {
@@ -325,7 +358,7 @@
 
   EntrySettings m_settings;
   std::unique_ptr<EntryApp> m_app;
-  mutable int m_requests = 0;
+  mutable std::atomic<int> m_requests{ 0 };
 };
 
 TEST_CASE_METHOD(EntryAppFixture,
@@ -359,5 +392,37 @@
   CHECK(m_app->StopPlanned());
 }
 
+/// Guards against LOST: requests that waited for a slot when the drain ended
+/// got neither an answer nor a refusal.
+TEST_CASE_METHOD(EntryAppFixture,
+                 "EntryApp, planned stop while requests wait for a slot, "
+                 "answers or refuses each of them")
+{
+  const SlowEndpoint endpoint(Milliseconds(300));
+  m_settings.drain = Milliseconds(1500);
+  Start("sapphirelane", endpoint.Address());
+  std::vector<std::future<std::string>> responses;
+  for (int i = 0; i < 60; ++i) {
+    const std::string target = "/t/" + std::to_string(i);
+    responses.push_back(
+      std::async(std::launch::async, [this, target] { return Get(target); }));
+  }
+  std::this_thread::sleep_for(Milliseconds(400)); // All have been read.
+  CHECK(m_app->StopPlanned());
+  int served = 0;
+  int refused = 0;
+  for (auto& response : responses) {
+    const std::string text = response.get();
+    served += text.find(" 200 ") != std::string::npos ? 1 : 0;
+    refused += text.find(" 503 ") != std::string::npos &&
+                   text.find("not-run") != std::string::npos
+                 ? 1
+                 : 0;
+  }
+  CHECK(served >= 12); // The endpoint has 4 slots and at least 3 turns.
+  CHECK(refused > 0);
+  CHECK(served + refused == 60);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/request_gate.cpp
+++ b/src/sapphirelane/proxy/request_gate.cpp
@@ -58,9 +58,6 @@
 std::optional<Refusal>
 AdmissionController::CheckHostState(std::size_t aInFlight) const
 {
-  if (m_draining) {
-    return NotRun(503, "stopping", "this host is being stopped");
-  }
   if (aInFlight >= m_limits.in_flight) {
     return NotRun(503, "busy", "this host is full");
   }
--- a/src/sapphirelane/proxy/request_gate.h
+++ b/src/sapphirelane/proxy/request_gate.h
@@ -32,16 +32,12 @@
   std::optional<Refusal> Authorize(PendingRequest& aRequest,
                                    TimePoint aNow) const;
 
-  /// @brief Refuses new requests from now on.
-  void StartDraining() { m_draining = true; }
-
 private:
   std::optional<Refusal> CheckHostState(std::size_t aInFlight) const;
   std::optional<Refusal> CheckLimits(const PendingRequest& aRequest) const;
 
   const LimitSettings m_limits;
   const FleetControl& m_control;
-  bool m_draining = false;
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -238,6 +238,25 @@
     Record(line + (read > 0 ? " " + body.substr(0, body.find('\n')) : ""));
   }
 
+  /// Serves requests one after the other, each in the given time.
+  void LearnLatency(Milliseconds aTime)
+  {
+    for (int i = 0; i < 60; ++i) {
+      const auto attempt = m_upstreams.started.size() + 1;
+      Send("POST", "/plain/warm");
+      m_now += aTime;
+      Head(attempt, 200);
+      End(attempt, true);
+    }
+    m_started = m_upstreams.started.size();
+  }
+
+  /// Attempts that were started since LearnLatency.
+  std::size_t CountSent() const
+  {
+    return m_upstreams.started.size() - m_started;
+  }
+
   int Status(const ExchangePtr& aExchange)
   {
     const auto head = aExchange->CallerTakeHead();
@@ -272,6 +291,7 @@
   std::string m_text;
   TimePoint m_now{ std::chrono::hours(100) };
   std::uint64_t m_lastRequest = 0;
+  std::size_t m_started = 0; ///< See CountSent.
   std::unique_ptr<Metrics> m_metrics = MakeMetrics();
   FakeControl m_control;
   FakeUpstreams m_upstreams;
@@ -518,11 +538,11 @@
 }
 
 TEST_CASE_METHOD(SessionFixture,
-                 "Dispatcher, draining, refuses new requests and completes "
-                 "those in flight")
+                 "Dispatcher, stop is about to end, refuses new requests and "
+                 "completes those in flight")
 {
   auto old = Send("GET", "/read/1");
-  m_dispatcher->Drain();
+  m_dispatcher->BeginStop(m_now + Milliseconds(100), m_now);
   auto late = Send("GET", "/read/2");
   CHECK(Outcome(late) == "not-run");
   Head(1, 200);
@@ -531,6 +551,75 @@
   CHECK(m_dispatcher->InFlight() == 0);
 }
 
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, stop has just begun, serves a new request")
+{
+  m_dispatcher->BeginStop(m_now + Milliseconds(5000), m_now);
+  auto request = Send("GET", "/read/1");
+  Head(1, 200);
+  End(1, true);
+  CHECK(Status(request) == 200);
+}
+
+/// Guards against LOST: requests that waited when a stop began were neither
+/// served nor refused before its end.
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, stop begins while requests wait, refuses at once "
+                 "those whose turn would come too late")
+{
+  LearnLatency(Milliseconds(400));
+  std::vector<ExchangePtr> requests;
+  for (int i = 0; i < 24; ++i) {
+    requests.push_back(Send("GET", "/read/" + std::to_string(i)));
+  }
+  const std::size_t running = CountSent();
+  // Two turns of six slots fit before the last start 0.9 s before the end.
+  m_dispatcher->BeginStop(m_now + Milliseconds(1800), m_now);
+  std::size_t refused = 0;
+  for (const ExchangePtr& request : requests) {
+    refused += Status(request) == 503 ? 1 : 0;
+  }
+  CHECK(refused >= 4);
+  CHECK(refused < requests.size() - running);
+  for (std::size_t i = requests.size() - refused; i < requests.size(); ++i) {
+    CHECK(Status(requests[i]) == 503); // The last ones were refused.
+    CHECK(Outcome(requests[i]) == "not-run");
+  }
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, waiting requests do not get their turn before "
+                 "the end of a stop, refuses them in time")
+{
+  LearnLatency(Milliseconds(400));
+  std::vector<ExchangePtr> requests;
+  for (int i = 0; i < 12; ++i) {
+    requests.push_back(Send("GET", "/read/" + std::to_string(i)));
+  }
+  const std::size_t running = CountSent();
+  m_dispatcher->BeginStop(m_now + Milliseconds(1800), m_now);
+  AdvanceTime(Milliseconds(1200)); // No attempt ends.
+  std::size_t refused = 0;
+  for (const ExchangePtr& request : requests) {
+    refused += Status(request) == 503 ? 1 : 0;
+  }
+  CHECK(refused == requests.size() - running);
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, attempt fails late in a stop, makes no further "
+                 "one")
+{
+  LearnLatency(Milliseconds(400));
+  auto request = Send("GET", "/read/1");
+  const std::size_t sent = m_upstreams.started.size();
+  m_dispatcher->BeginStop(m_now + Milliseconds(1000), m_now);
+  AdvanceTime(Milliseconds(200));
+  End(sent, false, true, "reset");
+  CHECK(m_upstreams.started.size() == sent);
+  CHECK(Status(request) == 502);
+}
+
 TEST_CASE_METHOD(SessionFixture,
                  "Dispatcher, deadline passes in the queue, reports not run")
 {
@@ -704,13 +793,7 @@
                  "Dispatcher, waiting request can no longer be answered in "
                  "time, refuses it before its deadline and says when to return")
 {
-  for (int i = 0; i < 60; ++i) {
-    const auto attempt = m_upstreams.started.size() + 1;
-    Send("POST", "/plain/warm");
-    m_now += Milliseconds(400);
-    Head(attempt, 200);
-    End(attempt, true);
-  }
+  LearnLatency(Milliseconds(400));
   for (int i = 0; i < 6; ++i) {
     Send("POST", "/plain/1");
   }
