Hold requests back that end the endpoints that work on them

Cause: nothing knew that a request had ended its endpoint. The host sent it to a second one, and its returns went to other hosts.

Change: when a connection breaks before any byte of an answer, the upstream client connects once more; if that is refused, the endpoint's process has ended, else the connection is kept for the next request. CrashGuard feeds CrashSuspects with that, tells the fleet as leaves are told (CrashNews), refuses held-back requests at once with 503, not run, and Retry-After, and makes no further attempt of them.

Proxy tests and the new ones of the store fleet pass.

--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -96,6 +96,15 @@
   std::optional<double> limit;
 };
 
+/// @brief What became of a request that may end the endpoints that work on it.
+struct CrashReport
+{
+  std::uint64_t request = 0; ///< Fingerprint.
+  bool served = false;       ///< It was answered; else an endpoint has ended.
+  std::uint64_t process = 0; ///< Hash of the process that has ended.
+  Duration worked{ 0 };      ///< For how long it had the request.
+};
+
 /// @brief Version and source of a daemon's view of the endpoints.
 struct ViewState
 {
@@ -104,8 +113,12 @@
   std::string source;        ///< "store", or the daemon that refreshed it.
 };
 
-using ControlEvent = std::
-  variant<TokenResult, ClaimResult, FleetEvidence, LeaveReport, LimitReport>;
+using ControlEvent = std::variant<TokenResult,
+                                  ClaimResult,
+                                  FleetEvidence,
+                                  LeaveReport,
+                                  LimitReport,
+                                  CrashReport>;
 
 /// @brief Interface between the request path of a daemon and the control plane
 /// of the fleet.
@@ -175,6 +188,11 @@
   /// get a LimitReport, unless the message is lost.
   virtual void ShareLimit(const LimitReport& /*aReport*/, TimePoint /*aNow*/) {}
 
+  /// @brief Tells the fleet that an endpoint has ended under a request, or that
+  /// a suspected request was answered. The other daemons get a CrashReport,
+  /// unless the message is lost.
+  virtual void ShareCrash(const CrashReport& /*aReport*/, TimePoint /*aNow*/) {}
+
   /// @brief Share of what an endpoint takes from all hosts that this one may
   /// use, together with those whose requests it hears of.
   virtual double LimitShare() const
--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -56,7 +56,9 @@
   bool whole = false;           ///< With End: the response is complete.
   bool sent = true;             ///< With End: a byte may have been sent.
   bool caller_fault = false; ///< With End: the caller aborted the request body.
-  bool kept = false;      ///< With End: its connection went back to the pool.
+  bool kept = false; ///< With End: its connection went back to the pool.
+  /// With End: the endpoint's process has ended while it had the request.
+  bool endpoint_ended = false;
   bool stale = false;     ///< With End: the reused connection was dead.
   std::string error;      ///< With End, if not complete.
   std::string kept_body;  ///< With End: the body, if small enough.
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -569,6 +569,23 @@
   }
 };
 
+/// @brief Tells that an endpoint has ended under a request, or that a request
+/// under which some had ended was answered.
+struct CrashNews
+{
+  bool spread = false; ///< The receiver sends it on in its data centre.
+  bool served = false;
+  std::uint64_t request = 0;   ///< Fingerprint.
+  std::uint64_t process = 0;   ///< Hash of the process that has ended.
+  std::uint32_t worked_ms = 0; ///< For how long it had the request.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(spread, served, request, process, worked_ms);
+  }
+};
+
 /// @brief Asks a daemon of a store fleet who other daemons are.
 struct MembersAsk
 {
@@ -622,7 +639,8 @@
                                  LeaveNews,
                                  MembersAsk,
                                  MembersNews,
-                                 LimitNews>;
+                                 LimitNews,
+                                 CrashNews>;
 
 /// @brief Asks a peer for the newest head and what leads to it.
 struct FetchState
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -11,6 +11,7 @@
 #include "sapphirelane/base/hash.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/proxy/attempt_order.h"
+#include "sapphirelane/proxy/crash_guard.h"
 #include "sapphirelane/proxy/pending_request.h"
 #include "sapphirelane/proxy/refusal.h"
 #include "sapphirelane/proxy/request_gate.h"
@@ -84,6 +85,7 @@
                  m_control,
                  m_metrics)
     , m_signals(m_options.dialect, m_control, m_metrics)
+    , m_crashes(m_control, m_metrics)
   {
   }
 
@@ -215,6 +217,8 @@
                                                      : request.head.request_id;
     m_services.ApplyConfig(aNow);
     auto refusal = m_admission.Admit(request, m_requests.size(), aNow);
+    request.fingerprint = CrashGuard::FingerprintOf(request);
+    refusal = refusal ? refusal : RefusalIfHeldBack(request, aNow);
     if (refusal) {
       RefuseOnArrival(request, *refusal);
       if (!request.service.empty()) {
@@ -237,6 +241,23 @@
     LogIfWaiting(id, aNow);
   }
 
+  /// The refusal of a request that is suspected of ending endpoints.
+  std::optional<Refusal> RefusalIfHeldBack(const PendingRequest& aRequest,
+                                           TimePoint aNow) const
+  {
+    const Duration wait = m_crashes.HeldBackFor(aRequest, aNow);
+    if (wait == Duration::zero()) {
+      return std::nullopt;
+    }
+    m_metrics.Count("requests_held_back_total",
+                    { { "service", aRequest.service } });
+    return Refusal{ 503,
+                    Outcome::NotRun,
+                    "held-back",
+                    "endpoints have ended under this request",
+                    RetryAfter(wait) };
+  }
+
   /// Draws a service by the weights of the route's traffic split.
   std::string ChooseService(const Route& aRoute)
   {
@@ -373,6 +394,11 @@
     }
   }
 
+  void OnControl(const CrashReport& aReport, TimePoint aNow)
+  {
+    m_crashes.OnReport(aReport, aNow);
+  }
+
   void OnRepeatedClaim(std::uint64_t aId,
                        PendingRequest& aRequest,
                        const ClaimReply& aReply,
@@ -660,6 +686,11 @@
                      PendingRequest& aRequest,
                      TimePoint aNow)
   {
+    const auto heldBack = RefusalIfHeldBack(aRequest, aNow);
+    if (heldBack) {
+      RefuseAdmitted(aId, *heldBack, aNow);
+      return;
+    }
     if (!aRequest.route.open && aNow >= aRequest.token_valid_until) {
       ReturnClaim(aRequest, aNow);
       AskNewToken(aId, aRequest, aNow);
@@ -694,7 +725,9 @@
                        PendingRequest& aRequest,
                        TimePoint aNow)
   {
-    if (IsTooLateForStop(aRequest, aNow)) {
+    const bool heldBack =
+      m_crashes.HeldBackFor(aRequest, aNow) > Duration::zero();
+    if (heldBack || IsTooLateForStop(aRequest, aNow)) {
       return false;
     }
     ServiceEntry& service = m_services.At(aRequest.service);
@@ -715,6 +748,7 @@
     Attempt attempt;
     attempt.id = m_nextAttempt++;
     attempt.endpoint = placed->endpoint;
+    attempt.lifetime = placed->lifetime;
     attempt.started = aNow;
     attempt.trial = placed->trial;
     attempt.queued_turns = placed->queued_turns;
@@ -855,6 +889,7 @@
                    const AttemptEvent& aEvent,
                    TimePoint aNow)
   {
+    m_crashes.OnServed(aRequest, aNow);
     aRequest.stage = RequestStage::Responding;
     aRequest.response_status = aEvent.head.status;
     const std::string* type = FindHeader(aEvent.head.headers, "content-type");
@@ -968,6 +1003,9 @@
     ServiceState& state = *m_services.At(aRequest.service).state;
     state.End(attempt.endpoint, aEvent.kept, aNow);
     const bool cancelled = aEvent.error == "cancelled";
+    if (aEvent.endpoint_ended) {
+      m_crashes.OnCrash(aRequest, attempt, aNow);
+    }
     ReportAttemptEnd(aRequest, attempt, aEvent, aNow);
     if (!aEvent.sent) {
       --aRequest.attempts_sent; // No byte was sent.
@@ -1404,6 +1442,7 @@
   StopSchedule m_stop;
   ServiceTable m_services;
   SignalHandler m_signals;
+  CrashGuard m_crashes;
   std::unordered_map<std::uint64_t, PendingRequest> m_requests;
   std::unordered_map<std::uint64_t, std::uint64_t> m_requestsByAttempt;
   std::unordered_map<AskId, std::uint64_t> m_requestsByAsk;
--- a/src/sapphirelane/proxy/pending_request.h
+++ b/src/sapphirelane/proxy/pending_request.h
@@ -33,6 +33,7 @@
 {
   std::uint64_t id = 0;
   std::string endpoint;
+  std::uint64_t lifetime = 0; ///< Of the endpoint.
   TimePoint started{};
   bool trial = false;         ///< Tests an ejected endpoint.
   double queued_turns = 0;    ///< See Placement.
@@ -52,7 +53,8 @@
   std::string account; ///< Empty on a route without authentication.
   std::string service;
   Route route;
-  std::uint32_t priority = 0; ///< Of the account or the route; 0 is highest.
+  std::uint64_t fingerprint = 0; ///< See CrashGuard.
+  std::uint32_t priority = 0;    ///< Of the account or the route; 0 is highest.
   RequestStage stage = RequestStage::AwaitingToken;
   TimePoint deadline{};
   AskId token_ask = 0;
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -9,6 +9,7 @@
 #include "sapphirelane/admission/key_directory.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/base/secret.h"
+#include "sapphirelane/proxy/crash_guard.h"
 #include "sapphirelane/proxy/dispatcher.h"
 
 namespace sapphirelane {
@@ -806,6 +807,100 @@
   CHECK(FindHeader(queued->CallerTakeHead()->headers, "Retry-After"));
 }
 
+/// Requests under which endpoints end.
+class CrashFixture : public SessionFixture
+{
+protected:
+  /// Ends the newest attempt with its endpoint's process.
+  void Crash()
+  {
+    AdvanceTime(Milliseconds(40));
+    AttemptEvent event;
+    event.id = m_upstreams.started.back().id;
+    event.error = "the connection ended before the answer did";
+    event.endpoint_ended = true;
+    m_dispatcher->OnAttempt(event, m_now);
+  }
+};
+
+/// Guards against a request that takes down a service: each return of it went
+/// to another endpoint.
+TEST_CASE_METHOD(
+  CrashFixture,
+  "Dispatcher, endpoints have ended under a request, refuses its "
+  "return at once and serves other requests")
+{
+  const auto first = Send("GET", "/read/deadly");
+  Crash();
+  Crash();
+  CHECK(Status(first) == 502);
+  const std::size_t sent = m_upstreams.started.size();
+  CHECK(sent == 2);
+  const auto again = Send("GET", "/read/deadly");
+  REQUIRE(Status(again) == 503);
+  CHECK(Outcome(again) == "not-run");
+  CHECK(FindHeader(again->CallerTakeHead()->headers, "Retry-After"));
+  CHECK(m_upstreams.started.size() == sent);
+  Send("GET", "/read/other");
+  CHECK(m_upstreams.started.size() == sent + 1);
+  CHECK(m_metrics->Text().find("requests_held_back_total") !=
+        std::string::npos);
+}
+
+TEST_CASE_METHOD(CrashFixture,
+                 "Dispatcher, endpoints have ended under a request, sends it "
+                 "for a trial after a time, and normally once it was answered")
+{
+  Send("GET", "/read/beside");
+  Crash();
+  Crash();
+  AdvanceTime(Milliseconds(6000));
+  const auto trial = Send("GET", "/read/beside");
+  Head(m_upstreams.started.back().id, 200);
+  End(m_upstreams.started.back().id, true);
+  CHECK(Status(trial) == 200);
+  const std::size_t sent = m_upstreams.started.size();
+  Send("GET", "/read/beside");
+  CHECK(m_upstreams.started.size() == sent + 1);
+}
+
+TEST_CASE_METHOD(CrashFixture,
+                 "Dispatcher, endpoints have ended under a request of another "
+                 "account, serves the same request of this one")
+{
+  m_control.config.accounts["b"] = { "b", 10, 20 };
+  m_control.config.keys["l"] = { "l", "b", DigestOf("other key") };
+  m_control.keys.Load(m_control.config);
+  Send("GET", "/read/same");
+  Crash();
+  Crash();
+  m_key = "other key";
+  const std::size_t sent = m_upstreams.started.size();
+  Send("GET", "/read/same");
+  CHECK(m_upstreams.started.size() == sent + 1);
+}
+
+TEST_CASE_METHOD(CrashFixture,
+                 "Dispatcher, other daemons report crashes under a request, "
+                 "holds it back")
+{
+  PendingRequest known;
+  known.exchange = Send("GET", "/read/deadly");
+  known.account = "a";
+  Head(m_upstreams.started.back().id, 200);
+  End(m_upstreams.started.back().id, true);
+  CrashReport report;
+  report.request = CrashGuard::FingerprintOf(known);
+  report.worked = Milliseconds(30);
+  for (report.process = 1; report.process <= 2; ++report.process) {
+    AdvanceTime(Milliseconds(100));
+    m_control.events.emplace_back(report);
+    m_dispatcher->OnEvents(m_now);
+  }
+  const auto held = Send("GET", "/read/deadly");
+  CHECK(Status(held) == 503);
+}
+
 /// Session in the dialect of a platform whose callers set request ids and whose
 /// requests name the expected endpoint.
 class PlatformSessionFixture : public SessionFixture
--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -60,7 +60,7 @@
     params.id = aId;
     params.exchange = m_exchange;
     params.endpoint = "e";
-    params.address = m_listener.Address();
+    params.address = m_address;
     params.method = "GET";
     params.target = "/x";
     params.headers = { { "Id", std::to_string(aRequest) } };
@@ -109,6 +109,7 @@
   }
 
   RawListener m_listener;
+  std::string m_address = m_listener.Address();
   BoundedRing<AttemptEvent> m_events;
   std::unique_ptr<UpstreamIoDuty> m_io;
   std::thread m_thread;
@@ -295,6 +296,45 @@
   CHECK(end.sent); // The request may have run.
 }
 
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, endpoint's process ends before the answer, "
+                 "reports it")
+{
+  {
+    const RawListener endpoint;
+    m_address = endpoint.Address();
+    Start(1);
+    RawConnection first = endpoint.Accept();
+    first.ReadUntil("\r\n\r\n");
+  } // The endpoint's listener is closed first.
+  const AttemptEvent end = NextEvent();
+  CHECK_FALSE(end.whole);
+  CHECK(end.sent);
+  CHECK(end.endpoint_ended);
+}
+
+TEST_CASE_METHOD(
+  UpstreamClientFixture,
+  "UpstreamClient, endpoint closes one connection only, does not "
+  "take it for the end of its process")
+{
+  Start(1);
+  {
+    RawConnection first = m_listener.Accept();
+    first.ReadUntil("\r\n\r\n");
+  }
+  const AttemptEvent end = NextEvent();
+  CHECK_FALSE(end.whole);
+  CHECK_FALSE(end.endpoint_ended);
+  // The connection by which that was found out serves the next request.
+  RawConnection second = m_listener.Accept();
+  Start(2);
+  second.ReadUntil("Id: 2\r\n");
+  second.Write(FormatResponse("2", "two"));
+  CHECK(NextEvent().head.status == 200);
+  CHECK(NextEvent().whole);
+}
+
 /// Bytes that sockets may hold on both sides, and what the client may buffer.
 constexpr std::size_t kMaxAcceptedBytes = 16U << 20U;
 constexpr std::size_t kEndlessBytes = 64U << 20U;
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -34,6 +34,9 @@
 /// caller slows down the upstream.
 constexpr std::size_t kMaxBufferedBytes = 262144;
 
+/// Time to learn whether an endpoint has ended; it takes a round trip.
+constexpr Milliseconds kEndpointCheckTimeout{ 50 };
+
 constexpr int kMinFinalStatus = 200;
 
 /// Fraction of the announced keep-alive timeout for which an idle connection is
@@ -116,12 +119,8 @@
 void
 UpstreamTransfer::Connect()
 {
-  const std::size_t colon = m_attempt.address.rfind(':');
-  Error error;
-  std::uint32_t port = 0;
-  const auto ip =
-    asio::ip::make_address(m_attempt.address.substr(0, colon), error);
-  if (error || !absl::SimpleAtoi(m_attempt.address.substr(colon + 1), &port)) {
+  const auto address = Address();
+  if (!address) {
     Finish(false, "address " + m_attempt.address + " is not ip:port");
     return;
   }
@@ -129,12 +128,25 @@
   StartTimer(Clock::now() + m_context.options.connect_timeout,
              "no connection in time");
   m_connection->socket.async_connect(
-    { ip, static_cast<std::uint16_t>(port) },
-    [self = shared_from_this()](const Error& aError) {
+    *address, [self = shared_from_this()](const Error& aError) {
       self->OnConnected(aError);
     });
 }
 
+std::optional<asio::ip::tcp::endpoint>
+UpstreamTransfer::Address() const
+{
+  const std::size_t colon = m_attempt.address.rfind(':');
+  Error error;
+  std::uint32_t port = 0;
+  const auto ip =
+    asio::ip::make_address(m_attempt.address.substr(0, colon), error);
+  if (error || !absl::SimpleAtoi(m_attempt.address.substr(colon + 1), &port)) {
+    return std::nullopt;
+  }
+  return asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+}
+
 void
 UpstreamTransfer::OnConnected(const Error& aError)
 {
@@ -220,7 +232,8 @@
 void
 UpstreamTransfer::WriteOutput()
 {
-  if (m_writing || m_finished || m_connection == nullptr || m_connecting) {
+  if (m_writing || m_finished || m_connection == nullptr || m_connecting ||
+      m_checking) {
     return;
   }
   if (!AppendRequestBody()) {
@@ -296,7 +309,8 @@
 void
 UpstreamTransfer::Read()
 {
-  if (m_reading || m_finished || m_buffered.size() >= kMaxBufferedBytes) {
+  if (m_reading || m_finished || m_checking ||
+      m_buffered.size() >= kMaxBufferedBytes) {
     return;
   }
   m_reading = true;
@@ -342,9 +356,60 @@
     OnResponseComplete();
     return;
   }
-  Finish(false,
-         endOfStream ? "the connection ended before the answer did"
-                     : aError.message());
+  const std::string reason = endOfStream
+                               ? "the connection ended before the answer did"
+                               : aError.message();
+  if (m_receivedAny) {
+    Finish(false, reason);
+  } else {
+    CheckEndpoint(reason);
+  }
+}
+
+void
+UpstreamTransfer::CheckEndpoint(const std::string& aError)
+{
+  const auto address = Address();
+  if (m_checking || !address) {
+    return;
+  }
+  m_checking = true;
+  auto connection = std::make_shared<UpstreamConnection>(m_context.io);
+  connection->pool_key = m_connection->pool_key;
+  connection->number = ++m_context.last_connection;
+  m_timer.expires_after(kEndpointCheckTimeout);
+  m_timer.async_wait(
+    [self = shared_from_this(), connection, aError](const Error& aResult) {
+      if (!aResult && !self->m_finished) {
+        Error ignored;
+        connection->socket.close(ignored);
+        self->Finish(false, aError);
+      }
+    });
+  connection->socket.async_connect(
+    *address,
+    [self = shared_from_this(), connection, aError](const Error& aResult) {
+      self->OnEndpointChecked(aResult, connection, aError);
+    });
+}
+
+void
+UpstreamTransfer::OnEndpointChecked(const Error& aResult,
+                                    const UpstreamConnectionPtr& aConnection,
+                                    const std::string& aError)
+{
+  if (!aResult) {
+    // The next request to the endpoint uses it.
+    Error ignored;
+    aConnection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    aConnection->last_used = Clock::now();
+    aConnection->expires_at =
+      aConnection->last_used + m_context.options.proven_for;
+    aConnection->reused = true; // It may be dead when it is used.
+    m_context.pool.Release(aConnection);
+  }
+  m_endpointEnded = aResult == asio::error::connection_refused;
+  Finish(false, aError);
 }
 
 /// Parses the next part of the response.
@@ -538,6 +603,7 @@
   event.caller_fault = m_callerAborted;
   event.stale = !aComplete && m_connection != nullptr && m_connection->reused &&
                 !m_receivedAny;
+  event.endpoint_ended = m_endpointEnded;
   event.body_kept = aComplete && m_captureComplete;
   event.kept_body = event.body_kept ? m_captured : std::string();
   event.error = aError;
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -62,6 +62,14 @@
   void Read();
   void OnRead(const Error& aError, std::size_t aSize);
   void OnReadError(const Error& aError);
+
+  /// Connects once more to the endpoint, which broke off before it answered, to
+  /// learn whether its process has ended; then ends the attempt.
+  void CheckEndpoint(const std::string& aError);
+  void OnEndpointChecked(const Error& aResult,
+                         const UpstreamConnectionPtr& aConnection,
+                         const std::string& aError);
+  std::optional<boost::asio::ip::tcp::endpoint> Address() const;
   bool ParseInput();
   void OnResponseHead();
   void OnResponseComplete();
@@ -87,9 +95,11 @@
   bool m_callerAborted = false;
   std::optional<ResponseParser> m_parser;
   bool m_reading = false;
-  bool m_receivedAny = false; ///< A byte of a response has arrived.
-  bool m_mismatched = false;  ///< The response is to another request.
-  bool m_reusable = true;     ///< The connection may be reused.
+  bool m_checking = false;      ///< See CheckEndpoint.
+  bool m_endpointEnded = false; ///< Its process is gone.
+  bool m_receivedAny = false;   ///< A byte of a response has arrived.
+  bool m_mismatched = false;    ///< The response is to another request.
+  bool m_reusable = true;       ///< The connection may be reused.
   bool m_headRead = false;
   bool m_headReported = false;
   ResponseHead m_head;
--- a/src/sapphirelane/relay/hostile_message_test.cpp
+++ b/src/sapphirelane/relay/hostile_message_test.cpp
@@ -55,7 +55,12 @@
   leave.spread = true;
   leave.endpoint = text;
   leave.lifetime = kMax64;
-  return { presence, work, view, leave };
+  CrashNews crash;
+  crash.spread = true;
+  crash.request = kMax64;
+  crash.process = kMax64;
+  crash.worked_ms = kMax32;
+  return { presence, work, view, leave, crash };
 }
 
 /// Guards against one message that takes a daemon down: whatever another one
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -44,6 +44,9 @@
 /// learns from the endpoint or the view.
 constexpr std::size_t kRelaysOfLeavesPerCentre = 2;
 
+/// Longest plausible time for which an endpoint works on a request.
+constexpr Milliseconds kMaxWorkTime = std::chrono::hours(1);
+
 /// Validity of a granted token. It only has to outlast the request, as no right
 /// to send expires in this kind of fleet.
 constexpr Milliseconds kTokenLifetime{ 60000 };
@@ -199,6 +202,18 @@
       update, m_sender.PickRelays(kRelaysOfLeavesPerCentre, aNow), aNow);
   }
 
+  void ShareCrash(const CrashReport& aReport, TimePoint aNow) override
+  {
+    CrashNews update;
+    update.served = aReport.served;
+    update.request = aReport.request;
+    update.process = aReport.process;
+    update.worked_ms =
+      static_cast<std::uint32_t>(ToMilliseconds(aReport.worked).count());
+    m_sender.SendToAll(
+      update, m_sender.PickRelays(kRelaysOfLeavesPerCentre, aNow), aNow);
+  }
+
   double LimitShare() const override { return m_quota.Share(); }
 
   double Shortfall(const std::string& aService, TimePoint aNow) override
@@ -486,6 +501,26 @@
     }
   }
 
+  // Requests under which endpoints end.
+
+  void Handle(const std::string& /*aAddress*/,
+              const CrashNews& aUpdate,
+              TimePoint aNow)
+  {
+    if (Milliseconds(aUpdate.worked_ms) > kMaxWorkTime) {
+      return;
+    }
+    if (aUpdate.spread) {
+      m_sender.SendLocally(aUpdate, aNow);
+    }
+    CrashReport report;
+    report.request = aUpdate.request;
+    report.served = aUpdate.served;
+    report.process = aUpdate.process;
+    report.worked = Milliseconds(aUpdate.worked_ms);
+    m_events.emplace_back(report);
+  }
+
   void AddEvidence(std::vector<FleetEvidence> aEvidence)
   {
     for (FleetEvidence& evidence : aEvidence) {
--- a/src/sapphirelane/relay/store_fleet_test.cpp
+++ b/src/sapphirelane/relay/store_fleet_test.cpp
@@ -116,6 +116,48 @@
   }) == 1);
 }
 
+TEST_CASE(
+  "StoreFleet, endpoint ends under a request of one daemon, every other "
+  "daemon hears of it within 50 ms")
+{
+  FleetWorld world(60, 3);
+  world.Advance(std::chrono::seconds(5));
+  world.CountWithout([](StoreFleet& aFleet) {
+    aFleet.TakeEvents();
+    return true;
+  });
+  CrashReport report;
+  report.request = 4;
+  report.process = 5;
+  report.worked = Milliseconds(300);
+  world.At(0).ShareCrash(report, world.Now());
+  world.Advance(Milliseconds(50));
+  const auto heard = [](StoreFleet& aFleet) {
+    const auto events = aFleet.TakeEvents();
+    return std::any_of(
+      events.begin(), events.end(), [](const ControlEvent& aEvent) {
+        const auto* crash = std::get_if<CrashReport>(&aEvent);
+        return crash != nullptr && crash->request == 4 && crash->process == 5 &&
+               crash->worked == Milliseconds(300) && !crash->served;
+      });
+  };
+  CHECK_FALSE(heard(world.At(0)));
+  CHECK(world.CountWithout(heard) == 1);
+}
+
+TEST_CASE("StoreFleet, report of a crash with an absurd time, is ignored")
+{
+  FleetWorld world(6, 2);
+  world.Advance(std::chrono::seconds(5));
+  world.At(1).TakeEvents();
+  CrashNews update;
+  update.worked_ms = 0xffffffff;
+  world.At(1).OnMessage("nowhere", update, world.Now());
+  for (const ControlEvent& event : world.At(1).TakeEvents()) {
+    CHECK_FALSE(std::holds_alternative<CrashReport>(event));
+  }
+}
+
 TEST_CASE("StoreFleet, report that an unknown endpoint leaves, is ignored")
 {
   FleetWorld world(6, 2);
