--- a/src/sapphirelane/proxy/crash_guard.cpp
+++ b/src/sapphirelane/proxy/crash_guard.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Longest plausible time for which an endpoint works on a request.
+constexpr Milliseconds kMaxWorkTime = std::chrono::hours(1);
+
 std::string
 FingerprintText(std::uint64_t aFingerprint)
 {
@@ -64,6 +67,22 @@
   m_control.ShareCrash(report, aNow);
 }
 
+void
+CrashGuard::RecordHeldBack(const PendingRequest& aRequest, TimePoint aNow)
+{
+  LogLine("suspect",
+          "A suspected request is held back.",
+          LogFields()
+            .Add("request", aRequest.log_id)
+            .Add("fingerprint", FingerprintText(aRequest.fingerprint))
+            .Add("path", aRequest.head.path)
+            .Add("crashes",
+                 std::uint64_t{ m_suspects.CountCrashes(aRequest.fingerprint) })
+            .Add("held_back_ms", HeldBackFor(aRequest, aNow)));
+  m_metrics.Count("requests_held_back_total",
+                  { { "service", aRequest.service } });
+}
+
 void
 CrashGuard::OnServed(const PendingRequest& aRequest, TimePoint aNow)
 {
@@ -84,6 +103,10 @@
 void
 CrashGuard::OnReport(const CrashReport& aReport, TimePoint aNow)
 {
+  if (aReport.worked < Duration::zero() || aReport.worked > kMaxWorkTime) {
+    m_metrics.Count("crash_reports_malformed_total", {});
+    return;
+  }
   const std::string fingerprint = FingerprintText(aReport.request);
   if (aReport.served) {
     if (m_suspects.RecordServed(aReport.request, aNow)) {
--- a/src/sapphirelane/proxy/crash_guard.h
+++ b/src/sapphirelane/proxy/crash_guard.h
@@ -31,6 +31,9 @@
     return m_suspects.HeldBackFor(aRequest.fingerprint, aNow);
   }
 
+  /// @brief Logs and counts that a request is refused as held back.
+  void RecordHeldBack(const PendingRequest& aRequest, TimePoint aNow);
+
   /// @brief Records that the endpoint of an attempt has ended, and tells the
   /// fleet.
   void OnCrash(const PendingRequest& aRequest,
@@ -41,7 +44,8 @@
   /// it was suspected.
   void OnServed(const PendingRequest& aRequest, TimePoint aNow);
 
-  /// @brief Applies what another daemon has seen.
+  /// @brief Applies what another daemon has seen; ignores and counts a
+  /// malformed report.
   void OnReport(const CrashReport& aReport, TimePoint aNow);
 
 private:
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -243,14 +243,13 @@
 
   /// The refusal of a request that is suspected of ending endpoints.
   std::optional<Refusal> RefusalIfHeldBack(const PendingRequest& aRequest,
-                                           TimePoint aNow) const
+                                           TimePoint aNow)
   {
     const Duration wait = m_crashes.HeldBackFor(aRequest, aNow);
     if (wait == Duration::zero()) {
       return std::nullopt;
     }
-    m_metrics.Count("requests_held_back_total",
-                    { { "service", aRequest.service } });
+    m_crashes.RecordHeldBack(aRequest, aNow);
     return Refusal{ 503,
                     Outcome::NotRun,
                     "held-back",
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -901,6 +901,29 @@
   CHECK(Status(held) == 503);
 }
 
+TEST_CASE_METHOD(CrashFixture,
+                 "Dispatcher, malformed reports of crashes, are ignored and "
+                 "counted")
+{
+  PendingRequest known;
+  known.exchange = Send("GET", "/read/1");
+  known.account = "a";
+  CrashReport report;
+  report.request = CrashGuard::FingerprintOf(known);
+  for (report.process = 1; report.process <= 4; ++report.process) {
+    AdvanceTime(Milliseconds(100));
+    report.worked =
+      report.process % 2 == 0 ? Duration(Milliseconds(-30)) : Duration::max();
+    m_control.events.emplace_back(report);
+    m_dispatcher->OnEvents(m_now);
+  }
+  const std::size_t sent = m_upstreams.started.size();
+  Send("GET", "/read/1");
+  CHECK(m_upstreams.started.size() == sent + 1);
+  CHECK(m_metrics->Text().find("crash_reports_malformed_total") !=
+        std::string::npos);
+}
+
 /// Session in the dialect of a platform whose callers set request ids and whose
 /// requests name the expected endpoint.
 class PlatformSessionFixture : public SessionFixture
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -44,9 +44,6 @@
 /// learns from the endpoint or the view.
 constexpr std::size_t kRelaysOfLeavesPerCentre = 2;
 
-/// Longest plausible time for which an endpoint works on a request.
-constexpr Milliseconds kMaxWorkTime = std::chrono::hours(1);
-
 /// Validity of a granted token. It only has to outlast the request, as no right
 /// to send expires in this kind of fleet.
 constexpr Milliseconds kTokenLifetime{ 60000 };
@@ -507,9 +504,6 @@
               const CrashNews& aUpdate,
               TimePoint aNow)
   {
-    if (Milliseconds(aUpdate.worked_ms) > kMaxWorkTime) {
-      return;
-    }
     if (aUpdate.spread) {
       m_sender.SendLocally(aUpdate, aNow);
     }
