Soak: a request that ends its endpoints

Allowed are two ends at first, two trials, and two more for each daemon that was out of touch meanwhile.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -68,6 +68,17 @@
         self.body = body
         return attempt
 
+    async def send_deadly(self):
+        """Sends the deadly request on a connection of its own."""
+        self.leave()
+        self.body = b""
+        await self.send(Attempt(
+            request=f"{self.world.random.getrandbits(64):016x}", route="read",
+            idempotent=True, tenant=self.tenant,
+            key=self.world.keys[self.tenant][-1], daemon="", method="GET",
+            target=self.world.deadly_target,
+            digest=hashlib.sha256(b"").hexdigest(), limit_s=1.0))
+
     async def send(self, attempt):
         self.world.attempts.append(attempt)
         try:
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -8,6 +8,7 @@
 
 BEAT_S = 0.5          # between two writes of an endpoint
 QUEUE = 8             # requests that wait beyond the slots
+DEADLY_S = 0.01       # for which it works on a request that ends it
 LAPSE_BEATS = 3       # beats after which the entry of a silent one is removed
 
 
@@ -101,6 +102,15 @@
         await asyncio.sleep(BEAT_S * LAPSE_BEATS)
         self.world.store.remove("servers", self.name)
 
+    async def end_by_request(self):
+        """Ends as a process does that crashes: nothing listens any more."""
+        self.world.deadly_ends += 1
+        self.world.harm_endpoint(self, 1e6)
+        self.link.server.close()
+        self.link.reset()
+        await self.crash()
+        await self.world.add_endpoint(self.service)
+
     async def leave(self):
         """Ends after its draining."""
         self.alive = False
@@ -132,6 +142,10 @@
             if time.monotonic() >= until:
                 return self.not_run(503, name)
             self.note(request, name, left)
+            if self.alive and self.world.is_deadly(request.target):
+                await asyncio.sleep(DEADLY_S)
+                self.ending = asyncio.create_task(self.end_by_request())
+                return None
             return await self.work(name, writer, until)
         finally:
             self.slots.release()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -12,6 +12,8 @@
 LATE_S = 0.5          # an answer beyond the caller's limit
 PROMISES = (408, 421, 429, 503)
 LEAST_SERVED = 0.8    # of the requests in the calm at the end
+FIRST_ENDS = 2        # endpoints that a deadly request ends before it is known
+TRIALS = 2            # in the time for which it returns
 
 
 class Verdict:
@@ -35,6 +37,7 @@
             self.check_attempt(attempt)
         self.check_quota(attempts)
         self.check_end()
+        self.check_deadly()
         for daemon in self.world.daemons:
             for fault in daemon.faults:
                 self.note("process", f"{daemon.name} {fault}")
@@ -151,6 +154,18 @@
                               f"{QUOTA_WINDOW_S} s, at most {most:.0f}")
                     break
 
+    def check_deadly(self):
+        """A deadly request ends few endpoints, though it returns."""
+        if self.world.deadly_times is None:
+            return
+        # A daemon that was down or out of touch may not have heard of it.
+        unaware = sum(1 for one in self.world.daemons
+                      if one.harmed(*self.world.deadly_times))
+        most = FIRST_ENDS * (1 + unaware) + TRIALS
+        if self.world.deadly_ends > most:
+            self.note("deadly request", f"{self.world.deadly_ends} endpoints "
+                      f"ended, at most {most}")
+
     def check_end(self):
         """In the calm at the end callers are served."""
         owed = [one for one in self.world.attempts
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -5,6 +5,9 @@
 from world import Route
 
 FAULTS_PER_S = 0.9    # faults begun a second, each lasting up to three
+DEADLY_SEEDS = 3      # one in so many seeds has a deadly request
+DEADLY_S = 5.0        # for which its caller returns
+DEADLY_PAUSE_S = 0.4  # until it does
 
 
 class Schedule:
@@ -36,6 +39,21 @@
         if running:
             await asyncio.gather(*running)
 
+    async def deadly_request(self, begin, caller):
+        """A request that ends its endpoints returns to one daemon after the
+        other. Draws nothing, so that a seed's other faults stay the same."""
+        if self.world.seed % DEADLY_SEEDS != 0:
+            return
+        await asyncio.sleep(max(0, begin + 1.0 - time.monotonic()))
+        self.note(f"a deadly request, {DEADLY_S:.1f} s")
+        start = time.monotonic()
+        self.world.deadly_target = "/read/deadly"
+        self.world.deadly_times = (start, start + DEADLY_S)
+        while time.monotonic() < start + DEADLY_S:
+            await caller.send_deadly()
+            await asyncio.sleep(DEADLY_PAUSE_S)
+        caller.leave()
+
     def some_daemons(self):
         most = max(1, len(self.world.daemons) // 2)
         return self.random.sample(self.world.daemons,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -31,6 +31,7 @@
     """Everything of one run; what is random follows from the seed."""
 
     def __init__(self, seed, folder, program, daemons, slot=0):
+        self.seed = seed
         self.random = random.Random(seed)
         self.folder = pathlib.Path(folder)
         self.program = program
@@ -46,6 +47,9 @@
         self.lags = []
         self.store_harms = []
         self.endpoint_harms = []     # (endpoint, from, to)
+        self.deadly_target = ""      # ends the endpoints that get it
+        self.deadly_times = None     # (from, to) in which it is sent
+        self.deadly_ends = 0
         self.rates = {"steady": (400, 400), "small": (30, 30),
                       "greedy": (15, 15)}
         self.keys = {name: [f"key-{name}-{i}" for i in range(3)]
@@ -136,6 +140,9 @@
         endpoint.public = endpoint.link.port
         return endpoint
 
+    def is_deadly(self, target):
+        return target == self.deadly_target
+
     # Times in which a bound doesn't hold.
 
     def harm_store(self, seconds):
@@ -194,8 +201,8 @@
             Caller(self, i, tenants[i % len(tenants)],
                    6.0).run(self.end_at)) for i in range(callers)]
         faults = asyncio.create_task(schedule.run(begin, seconds))
-        await asyncio.gather(*work)
-        await faults
+        await asyncio.gather(*work, faults, schedule.deadly_request(
+            begin, Caller(self, callers, "steady", 0)))
 
     def close(self):
         for daemon in self.daemons:
