Bound the reports of crashes that a daemon sends

When many endpoints end at once, every daemon has requests there, and each would have told all others of each of them, though such crashes prove nothing. A daemon now sends at most six at once and one each 5 s, and counts what it leaves out; a deadly request needs two or three.

"many endpoints end, tells the fleet a bounded number of times": 200 crashes in 8 s, at most ten reports.

--- a/src/sapphirelane/proxy/crash_guard.cpp
+++ b/src/sapphirelane/proxy/crash_guard.cpp
@@ -12,6 +12,11 @@
 /// Longest plausible time for which an endpoint works on a request.
 constexpr Milliseconds kMaxWorkTime = std::chrono::hours(1);
 
+/// Reports to the fleet, at once and each second. Every daemon gets each of
+/// them, and when many endpoints end at once every daemon has some.
+constexpr double kReportBurst = 6;
+constexpr double kReportRate = 0.2;
+
 std::string
 FingerprintText(std::uint64_t aFingerprint)
 {
@@ -64,7 +69,7 @@
   report.request = crash.request;
   report.process = crash.process;
   report.worked = aNow - aAttempt.started;
-  m_control.ShareCrash(report, aNow);
+  Tell(report, aNow);
 }
 
 void
@@ -97,7 +102,21 @@
   CrashReport report;
   report.request = aRequest.fingerprint;
   report.served = true;
-  m_control.ShareCrash(report, aNow);
+  Tell(report, aNow);
+}
+
+void
+CrashGuard::Tell(const CrashReport& aReport, TimePoint aNow)
+{
+  if (!m_reports) {
+    m_reports.emplace(kReportBurst, aNow);
+    m_reports->SetLimits(kReportRate, kReportBurst, aNow);
+  }
+  if (m_reports->Take(aNow, aNow)) {
+    m_control.ShareCrash(aReport, aNow);
+  } else {
+    m_metrics.Count("crash_reports_omitted_total", {});
+  }
 }
 
 void
--- a/src/sapphirelane/proxy/crash_guard.h
+++ b/src/sapphirelane/proxy/crash_guard.h
@@ -1,6 +1,9 @@
 #ifndef SAPPHIRELANE_PROXY_CRASH_GUARD_H
 #define SAPPHIRELANE_PROXY_CRASH_GUARD_H
 
+#include <optional>
+
+#include "sapphirelane/admission/token_bucket.h"
 #include "sapphirelane/kernel/metrics.h"
 #include "sapphirelane/membership/fleet_control.h"
 #include "sapphirelane/proxy/pending_request.h"
@@ -49,9 +52,13 @@
   void OnReport(const CrashReport& aReport, TimePoint aNow);
 
 private:
+  /// Tells the fleet, unless this daemon has told it much lately.
+  void Tell(const CrashReport& aReport, TimePoint aNow);
+
   FleetControl& m_control;
   Metrics& m_metrics;
   CrashSuspects m_suspects;
+  std::optional<TokenBucket> m_reports; ///< See Tell; set by the first one.
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -80,6 +80,11 @@
     return shortfall;
   }
 
+  void ShareCrash(const CrashReport& aReport, TimePoint /*aNow*/) override
+  {
+    crashes.push_back(aReport);
+  }
+
   std::vector<ControlEvent> TakeEvents() override
   {
     return std::exchange(events, {});
@@ -96,6 +101,7 @@
   AskId last_ask = 0;
   std::map<AskId, std::string> ids;
   std::vector<ControlEvent> events;
+  std::vector<CrashReport> crashes; ///< Told to the fleet.
 };
 
 /// Records attempts instead of sending them.
@@ -901,6 +907,19 @@
   CHECK(Status(held) == 503);
 }
 
+TEST_CASE_METHOD(CrashFixture,
+                 "Dispatcher, many endpoints end, tells the fleet a bounded "
+                 "number of times")
+{
+  for (int i = 0; i < 200; ++i) {
+    Send("POST", "/plain/" + std::to_string(i));
+    Crash();
+  }
+  // 8 s have passed.
+  CHECK(m_control.crashes.size() >= 2);
+  CHECK(m_control.crashes.size() <= 10);
+}
+
 TEST_CASE_METHOD(CrashFixture,
                  "Dispatcher, malformed reports of crashes, are ignored and "
                  "counted")
