Log and measure what each decision of the fleet's retry budget knew

What was missing: the logs told that a retry was sent, not what the host knew of the budget's window when it decided, so that a host with an empty window, one that had not yet heard and one that had lost counts looked the same.

Change: TakeExtra returns the decision with the retries known in the window, the budget and for how long this host knows the window; the dispatcher logs it for each attempt that is allowed or not ([retry]) and sets retry_budget, retry_budget_spent and retry_budget_refusals_total. No decision changes.

--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -43,6 +43,16 @@
   ClaimReply reply;
 };
 
+/// @brief Whether a service's retry budget allows a retry or hedge, and what
+/// was known of the budget's window.
+struct RetryDecision
+{
+  bool allowed = true;
+  double spent = 0;    ///< Retries and hedges of the fleet in the window.
+  double budget = 0;   ///< Those allowed in it.
+  Duration known{ 0 }; ///< Part of the window that this daemon knows.
+};
+
 /// @brief Results of requests to one endpoint, summed over the fleet or one
 /// daemon; input to outlier ejection and load balancing.
 struct EndpointEvidence
@@ -215,11 +225,12 @@
   }
 
   /// @brief Spends one retry or hedge from the service's retry budget, which
-  /// the whole fleet shares.
-  /// @return False if the budget is exhausted; the attempt must not be made.
-  virtual bool TakeExtra(const std::string& /*aService*/, TimePoint /*aNow*/)
+  /// the whole fleet shares. If it is not allowed, the attempt must not be
+  /// made.
+  virtual RetryDecision TakeExtra(const std::string& /*aService*/,
+                                  TimePoint /*aNow*/)
   {
-    return true;
+    return {};
   }
 
   /// @brief Data centre of this daemon; empty if placement ignores it.
--- a/include/sapphirelane/relay/extra_budget.h
+++ b/include/sapphirelane/relay/extra_budget.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "sapphirelane/base/time.h"
+#include "sapphirelane/membership/fleet_control.h"
 
 namespace sapphirelane {
 
@@ -45,8 +46,7 @@
   void SetShare(double aFleetShare) { m_fleetShare = aFleetShare; }
 
   /// @brief Spends one retry or hedge if the budget allows it.
-  /// @return True if it was spent.
-  bool Take(const std::string& aService, TimePoint aNow);
+  RetryDecision Take(const std::string& aService, TimePoint aNow);
 
 private:
   struct Interval
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -971,7 +971,7 @@
     const bool allowed =
       HasAttemptsLeft(aRequest) &&
       m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow) &&
-      m_control.TakeExtra(aRequest.service, aNow);
+      TakeFromFleetBudget(aId, aRequest, aNow);
     if (!allowed || !TryStartAttempt(aId, aRequest, aNow)) {
       return false;
     }
@@ -979,6 +979,30 @@
     return true;
   }
 
+  /// Spends one attempt from the retry budget that the fleet shares.
+  bool TakeFromFleetBudget(std::uint64_t aId,
+                           const PendingRequest& aRequest,
+                           TimePoint aNow)
+  {
+    const RetryDecision decision = m_control.TakeExtra(aRequest.service, aNow);
+    LogDecision(aId,
+                "retry",
+                decision.allowed
+                  ? "The fleet's retry budget allows an attempt."
+                  : "The fleet's retry budget allows no attempt.",
+                RequestFields(aId)
+                  .Add("spent", decision.spent)
+                  .Add("budget", decision.budget)
+                  .Add("known_ms", decision.known));
+    const MetricLabels service = { { "service", aRequest.service } };
+    m_metrics.Set("retry_budget", service, decision.budget);
+    m_metrics.Set("retry_budget_spent", service, decision.spent);
+    if (!decision.allowed) {
+      m_metrics.Count("retry_budget_refusals_total", service);
+    }
+    return decision.allowed;
+  }
+
   /// Whether the route's limit on attempts sent allows another one.
   static bool HasAttemptsLeft(const PendingRequest& aRequest)
   {
@@ -1208,7 +1232,7 @@
       (AllStalled(aRequest) &&
        m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow));
     if (!withinBudget || !HasAttemptsLeft(aRequest) ||
-        !m_control.TakeExtra(aRequest.service, aNow)) {
+        !TakeFromFleetBudget(aId, aRequest, aNow)) {
       return;
     }
     aRequest.hedged = true;
--- a/src/sapphirelane/relay/extra_budget.cpp
+++ b/src/sapphirelane/relay/extra_budget.cpp
@@ -48,7 +48,7 @@
   CurrentInterval(m_intervals[aService], aNow).retries += aCount;
 }
 
-bool
+RetryDecision
 ExtraBudget::Take(const std::string& aService, TimePoint aNow)
 {
   Intervals& intervals = m_intervals[aService];
@@ -59,14 +59,14 @@
     requests += interval.requests;
     retries += interval.retries;
   }
-  const double budget =
+  RetryDecision decision;
+  decision.spent = retries;
+  decision.budget =
     (requests * m_options.share + m_options.slack * m_fleetShare) *
     m_options.margin;
-  if (retries + 1 > budget) {
-    return false;
-  }
-  current.retries += 1;
-  return true;
+  decision.allowed = retries + 1 <= decision.budget;
+  current.retries += decision.allowed ? 1 : 0;
+  return decision;
 }
 
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/extra_budget_test.cpp
+++ b/src/sapphirelane/relay/extra_budget_test.cpp
@@ -26,7 +26,7 @@
       now += std::chrono::duration_cast<Duration>(Seconds(gap(random)));
       budget.NoteRequests("s", 1, now);
       requests.push_back(now);
-      if (budget.Take("s", now)) {
+      if (budget.Take("s", now).allowed) {
         retries.push_back(now);
       }
       const auto within = [&](const std::vector<TimePoint>& aTimes) {
@@ -46,8 +46,8 @@
   const TimePoint now{ std::chrono::hours(1) };
   budget.NoteRequests("s", 10, now);
   budget.NoteExtras("s", 60, now);
-  CHECK_FALSE(budget.Take("s", now));
-  CHECK(budget.Take("other", now));
+  CHECK_FALSE(budget.Take("s", now).allowed);
+  CHECK(budget.Take("other", now).allowed);
 }
 
 } // namespace
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -220,9 +220,12 @@
     return std::max(m_churn, m_load.Shortfall(aService, aNow));
   }
 
-  bool TakeExtra(const std::string& aService, TimePoint aNow) override
+  RetryDecision TakeExtra(const std::string& aService, TimePoint aNow) override
   {
-    return m_retries.Take(aService, aNow);
+    RetryDecision decision = m_retries.Take(aService, aNow);
+    decision.known =
+      std::min<Duration>(m_options.extras.window, m_replica.Uptime(aNow));
+    return decision;
   }
 
   std::vector<ControlEvent> TakeEvents() override
