--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -44,8 +44,13 @@
 {
 public:
   /// @param aSeeded Daemons know the addresses of the first three.
-  FleetWorld(int aDaemons, int aCentres, bool aSeeded = false)
+  /// @param aRetries Retry budget of each service.
+  FleetWorld(int aDaemons,
+             int aCentres,
+             bool aSeeded = false,
+             const ExtraBudgetOptions& aRetries = {})
     : m_seeded(aSeeded)
+    , m_retries(aRetries)
   {
     SetLogSink([](const std::string&) {});
     m_config.version = 1;
@@ -319,6 +324,7 @@
                      Address(aDaemon.number) };
     options.started_ms = 1 + aDaemon.run;
     options.seed = options.self.id;
+    options.extras = aDaemon.world.m_retries;
     if (aDaemon.run > 0 || aDaemon.world.m_seeded) {
       options.seeds = { Address(0), Address(1), Address(2) };
     }
@@ -630,6 +636,7 @@
   double m_linkRate = 0; ///< In bytes a second; see SetLinkRate.
   std::mt19937_64 m_random{ 1 };
   bool m_seeded = false;
+  ExtraBudgetOptions m_retries;
   int m_centres = 1;
   int m_calls = 0;
   int m_hostCalls = 0;
