--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -985,6 +985,10 @@
                            TimePoint aNow)
   {
     const RetryDecision decision = m_control.TakeExtra(aRequest.service, aNow);
+    const bool unlimited = decision.allowed && decision.budget == 0;
+    if (unlimited) {
+      return true;
+    }
     LogDecision(aId,
                 "retry",
                 decision.allowed
