Tell a daemon that starts what the fleet has spent of its retry budgets

What callers saw: their upstreams got more retries than the budget allows (BUDGET) where daemons start while a service fails.

Cause: a daemon that starts held an empty window, took all of the budget for unspent and spent up to 0.8 of the slack by itself before it heard of others.

Change: such a daemon spends nothing until another one has told it the window, or a whole window has passed; it asks two live daemons every 100 ms over TCP (RetryHandover), and again until all daemons send it their reports. Windows merge by age (RetryWindow), so that a merge can be repeated and never lowers or doubles a count. new_fleet tells the first daemons of a fleet that nothing is spent.

Still failing and listed: what is sent while a report is under way, in fleets of 110.

--- a/include/sapphirelane/relay/extra_budget.h
+++ b/include/sapphirelane/relay/extra_budget.h
@@ -2,12 +2,13 @@
 #define SAPPHIRELANE_RELAY_EXTRA_BUDGET_H
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "sapphirelane/base/time.h"
 #include "sapphirelane/membership/fleet_control.h"
+#include "sapphirelane/relay/retry_window.h"
 
 namespace sapphirelane {
 
@@ -25,20 +26,30 @@
 /// @brief Fleet-wide retry budget of each service, over a sliding window.
 ///
 /// Limits retries and hedged requests to a share of the first attempts, counted
-/// over all daemons, so that retries cannot multiply an overload.
+/// over all daemons, so that retries cannot multiply an overload. A daemon that
+/// does not know the whole window spends nothing, as others may have spent all.
 class ExtraBudget
 {
 public:
   explicit ExtraBudget(ExtraBudgetOptions aOptions);
 
-  /// @brief Records first attempts, of this daemon or of others.
-  void NoteRequests(const std::string& aService,
-                    std::uint32_t aCount,
-                    TimePoint aNow);
+  /// @brief Sets that nothing is known of the time before a moment.
+  void ForgetBefore(TimePoint aMoment) { m_knownSince = aMoment; }
 
-  /// @brief Records retries and hedges that other daemons sent.
-  void NoteExtras(const std::string& aService,
-                  std::uint32_t aCount,
+  /// @brief Part of the window that is known.
+  Duration Known(TimePoint aNow) const;
+
+  /// @brief Whether all of the window is known.
+  bool IsKnown(TimePoint aNow) const { return Known(aNow) == m_options.window; }
+
+  /// @brief Records a first attempt of this daemon.
+  void NoteRequest(const std::string& aService, TimePoint aNow);
+
+  /// @brief Records first attempts and retries of other daemons.
+  /// @param aService Hash of the service's id.
+  void NoteOthers(std::uint32_t aService,
+                  std::uint32_t aRequests,
+                  std::uint32_t aRetries,
                   TimePoint aNow);
 
   /// @brief Sets the share of the fleet-wide allowance that this daemon may
@@ -48,21 +59,20 @@
   /// @brief Spends one retry or hedge if the budget allows it.
   RetryDecision Take(const std::string& aService, TimePoint aNow);
 
-private:
-  struct Interval
-  {
-    TimePoint start{};
-    double requests = 0;
-    double retries = 0;
-  };
-  using Intervals = std::deque<Interval>;
+  /// @brief What another daemon needs to know the windows of this one: those
+  /// with retries, if there are too many those with most.
+  RetriesReply Snapshot(const FetchRetries& aRequest, TimePoint aNow);
+
+  /// @brief Merges another daemon's snapshot.
+  void Merge(const RetriesReply& aSnapshot, TimePoint aNow);
 
-  /// Drops expired intervals and returns the one that aNow falls into.
-  Interval& CurrentInterval(Intervals& aIntervals, TimePoint aNow) const;
+private:
+  RetryWindow& WindowOf(std::uint32_t aService);
 
   ExtraBudgetOptions m_options;
   double m_fleetShare = 1;
-  std::map<std::string, Intervals> m_intervals;
+  TimePoint m_knownSince = TimePoint::min();
+  std::map<std::uint32_t, RetryWindow> m_windows; ///< By hash of the service.
 };
 
 } // namespace sapphirelane
--- a/include/sapphirelane/relay/store_fleet.h
+++ b/include/sapphirelane/relay/store_fleet.h
@@ -48,6 +48,8 @@
   PeerBookOptions peers;
   QuotaOptions quota;
   ExtraBudgetOptions extras;
+  /// The fleet starts for the first time; no daemon has run before.
+  bool new_fleet = false;
   std::uint64_t seed = 1; ///< Of the random number generator.
 };
 
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -822,6 +822,59 @@
   }
 };
 
+/// @brief Requests and retries of a service in one interval of its window.
+struct WindowPart
+{
+  std::uint32_t age_ms = 0; ///< Since the start of the interval.
+  std::uint32_t requests = 0;
+  std::uint32_t retries = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(age_ms, requests, retries);
+  }
+};
+
+/// @brief What a daemon knows of the window of a service's retry budget.
+struct ServiceWindow
+{
+  std::uint32_t service = 0; ///< Hash of its id.
+  std::vector<WindowPart> parts;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(service, parts);
+  }
+};
+
+/// @brief Asks a daemon of a store fleet for the windows of the retry budgets.
+struct FetchRetries
+{
+  std::uint32_t window_ms = 0; ///< Length of the asker's windows.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(window_ms);
+  }
+};
+
+/// @brief Answers a FetchRetries.
+struct RetriesReply
+{
+  /// Part of the window that the daemon knows; 0 if its windows differ.
+  std::uint32_t known_ms = 0;
+  std::vector<ServiceWindow> services;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(known_ms, services);
+  }
+};
+
 /// @brief Requests and replies that travel over TCP.
 using BulkMessage = std::variant<FetchState,
                                  StateReply,
@@ -831,7 +884,9 @@
                                  HandOverReply,
                                  SeatTransfer,
                                  FetchView,
-                                 ViewReply>;
+                                 ViewReply,
+                                 FetchRetries,
+                                 RetriesReply>;
 
 } // namespace sapphirelane
 
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -140,6 +140,7 @@
     }
   }
   aReader.Read("seeds_use_peer_port", settings.seeds_use_peer_port);
+  aReader.Read("new_fleet", settings.new_fleet);
   settings.fleet_secret = aReader.Required("fleet_secret");
   if (settings.fleet_secret.size() < kLeastSecretLength) {
     aReader.Refuse("fleet_secret", "at least 16 characters");
--- a/src/sapphirelane/proxy/store_fleet_runtime.cpp
+++ b/src/sapphirelane/proxy/store_fleet_runtime.cpp
@@ -36,6 +36,7 @@
   options.extras.share = aSettings.extras.share;
   options.extras.slack = aSettings.extras.slack;
   options.extras.window = aSettings.extras.window;
+  options.new_fleet = aSettings.new_fleet;
   options.seed = RandomBits();
   return options;
 }
--- a/src/sapphirelane/relay/extra_budget.cpp
+++ b/src/sapphirelane/relay/extra_budget.cpp
@@ -1,11 +1,16 @@
 #include "sapphirelane/relay/extra_budget.h"
 
+#include <algorithm>
+#include <utility>
+
+#include "sapphirelane/relay/peer_book.h"
+
 namespace sapphirelane {
 
 namespace {
 
-/// Intervals that the sliding window is divided into.
-constexpr int kIntervalsPerWindow = 20;
+/// Services in a snapshot, and those that are taken over from one.
+constexpr std::size_t kMaxServices = 256;
 
 } // namespace
 
@@ -14,59 +19,92 @@
 {
 }
 
-ExtraBudget::Interval&
-ExtraBudget::CurrentInterval(Intervals& aIntervals, TimePoint aNow) const
+Duration
+ExtraBudget::Known(TimePoint aNow) const
 {
-  // An interval counts until all of it has left the window.
-  while (!aIntervals.empty() &&
-         aNow - aIntervals.front().start >
-           m_options.window + m_options.window / kIntervalsPerWindow) {
-    aIntervals.pop_front();
-  }
-  const bool expired =
-    aIntervals.empty() ||
-    aNow - aIntervals.back().start >= m_options.window / kIntervalsPerWindow;
-  if (expired) {
-    aIntervals.push_back({ aNow, 0, 0 });
-  }
-  return aIntervals.back();
+  const bool all = m_knownSince <= aNow - m_options.window;
+  return all ? m_options.window
+             : std::max(Duration::zero(), aNow - m_knownSince);
+}
+
+RetryWindow&
+ExtraBudget::WindowOf(std::uint32_t aService)
+{
+  return m_windows.try_emplace(aService, m_options.window).first->second;
 }
 
 void
-ExtraBudget::NoteRequests(const std::string& aService,
-                          std::uint32_t aCount,
-                          TimePoint aNow)
+ExtraBudget::NoteRequest(const std::string& aService, TimePoint aNow)
 {
-  CurrentInterval(m_intervals[aService], aNow).requests += aCount;
+  WindowOf(ShortHash(aService)).Add(1, 0, aNow);
 }
 
 void
-ExtraBudget::NoteExtras(const std::string& aService,
-                        std::uint32_t aCount,
+ExtraBudget::NoteOthers(std::uint32_t aService,
+                        std::uint32_t aRequests,
+                        std::uint32_t aRetries,
                         TimePoint aNow)
 {
-  CurrentInterval(m_intervals[aService], aNow).retries += aCount;
+  if (aRequests > 0 || aRetries > 0) {
+    WindowOf(aService).Add(aRequests, aRetries, aNow);
+  }
 }
 
 RetryDecision
 ExtraBudget::Take(const std::string& aService, TimePoint aNow)
 {
-  Intervals& intervals = m_intervals[aService];
-  Interval& current = CurrentInterval(intervals, aNow);
-  double requests = 0;
-  double retries = 0;
-  for (const Interval& interval : intervals) {
-    requests += interval.requests;
-    retries += interval.retries;
-  }
+  RetryWindow& window = WindowOf(ShortHash(aService));
   RetryDecision decision;
-  decision.spent = retries;
-  decision.budget =
-    (requests * m_options.share + m_options.slack * m_fleetShare) *
-    m_options.margin;
-  decision.allowed = retries + 1 <= decision.budget;
-  current.retries += decision.allowed ? 1 : 0;
+  decision.known = Known(aNow);
+  decision.spent = window.Retries(aNow);
+  decision.budget = (window.Requests(aNow) * m_options.share +
+                     m_options.slack * m_fleetShare) *
+                    m_options.margin;
+  decision.allowed = IsKnown(aNow) && decision.spent + 1 <= decision.budget;
+  if (decision.allowed) {
+    window.Add(0, 1, aNow);
+  }
   return decision;
 }
 
+RetriesReply
+ExtraBudget::Snapshot(const FetchRetries& aRequest, TimePoint aNow)
+{
+  RetriesReply reply;
+  if (Milliseconds(aRequest.window_ms) != m_options.window) {
+    return reply;
+  }
+  reply.known_ms =
+    static_cast<std::uint32_t>(ToMilliseconds(Known(aNow)).count());
+  std::vector<std::pair<double, std::uint32_t>> services;
+  for (auto& [service, window] : m_windows) {
+    const double retries = window.Retries(aNow);
+    if (retries > 0) {
+      services.emplace_back(retries, service);
+    }
+  }
+  std::sort(services.rbegin(), services.rend());
+  services.resize(std::min(services.size(), kMaxServices));
+  for (const auto& entry : services) {
+    reply.services.push_back(
+      { entry.second, WindowOf(entry.second).Parts(aNow) });
+  }
+  return reply;
+}
+
+void
+ExtraBudget::Merge(const RetriesReply& aSnapshot, TimePoint aNow)
+{
+  const std::size_t services =
+    std::min(aSnapshot.services.size(), kMaxServices);
+  for (std::size_t i = 0; i < services; ++i) {
+    const ServiceWindow& service = aSnapshot.services[i];
+    WindowOf(service.service).RaiseTo(service.parts, aNow);
+  }
+  const TimePoint knownSince =
+    aNow - std::min<Duration>(Milliseconds(aSnapshot.known_ms),
+                              m_options.window);
+  m_knownSince = std::min(m_knownSince, knownSince);
+}
+
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/extra_budget_test.cpp
+++ b/src/sapphirelane/relay/extra_budget_test.cpp
@@ -5,6 +5,7 @@
 
 #include <rapidcheck/catch.h>
 
+#include "sapphirelane/relay/peer_book.h"
 #include "sapphirelane/routing/random.h"
 
 namespace sapphirelane {
@@ -24,7 +25,7 @@
     std::vector<TimePoint> retries;
     for (int i = 0; i < 2000; ++i) {
       now += std::chrono::duration_cast<Duration>(Seconds(gap(random)));
-      budget.NoteRequests("s", 1, now);
+      budget.NoteRequest("s", now);
       requests.push_back(now);
       if (budget.Take("s", now).allowed) {
         retries.push_back(now);
@@ -44,11 +45,78 @@
 {
   ExtraBudget budget({});
   const TimePoint now{ std::chrono::hours(1) };
-  budget.NoteRequests("s", 10, now);
-  budget.NoteExtras("s", 60, now);
+  budget.NoteOthers(ShortHash("s"), 10, 60, now);
   CHECK_FALSE(budget.Take("s", now).allowed);
   CHECK(budget.Take("other", now).allowed);
 }
 
+class StartedDaemonFixture
+{
+protected:
+  /// A snapshot of a service whose requests and retries were counted just now.
+  static RetriesReply SnapshotOf(std::uint32_t aKnownMs, std::uint32_t aRetries)
+  {
+    RetriesReply reply;
+    reply.known_ms = aKnownMs;
+    reply.services = { { ShortHash("s"), { { 100, 100, aRetries } } } };
+    return reply;
+  }
+
+  TimePoint m_now{ std::chrono::hours(1) };
+  ExtraBudget m_budget{ {} };
+};
+
+TEST_CASE_METHOD(StartedDaemonFixture,
+                 "RetryBudget, daemon has just started, spends nothing until "
+                 "another one tells the window")
+{
+  m_budget.ForgetBefore(m_now);
+  CHECK_FALSE(m_budget.Take("s", m_now).allowed);
+  m_budget.Merge(SnapshotOf(10000, 10), m_now);
+  const RetryDecision decision = m_budget.Take("s", m_now);
+  CHECK(decision.allowed);
+  CHECK(decision.spent == 10);
+  CHECK(decision.known == std::chrono::seconds(10));
+}
+
+TEST_CASE_METHOD(StartedDaemonFixture,
+                 "RetryBudget, others have started as lately, spends nothing "
+                 "until a whole window has passed")
+{
+  m_budget.ForgetBefore(m_now);
+  m_now += std::chrono::seconds(2);
+  m_budget.Merge(SnapshotOf(3000, 0), m_now); // Has run for a second more.
+  m_now += Milliseconds(6900);
+  CHECK_FALSE(m_budget.Take("s", m_now).allowed);
+  m_now += Milliseconds(200);
+  CHECK(m_budget.Take("s", m_now).allowed);
+}
+
+TEST_CASE_METHOD(StartedDaemonFixture,
+                 "RetryBudget, snapshot with extreme values, spends nothing "
+                 "for a window and no longer")
+{
+  constexpr std::uint32_t kMax = 0xffffffff;
+  RetriesReply snapshot = SnapshotOf(kMax, kMax);
+  snapshot.services.resize(100'000, { 7, { { kMax, kMax, kMax } } });
+  m_budget.ForgetBefore(m_now);
+  m_budget.Merge(snapshot, m_now);
+  CHECK_FALSE(m_budget.Take("s", m_now).allowed);
+  CHECK(m_budget.Snapshot({ 10000 }, m_now).services.size() == 1);
+  m_now += std::chrono::seconds(11);
+  CHECK(m_budget.Take("s", m_now).allowed);
+}
+
+TEST_CASE_METHOD(StartedDaemonFixture,
+                 "RetryBudget, asker has windows of another length, tells it "
+                 "that nothing is known")
+{
+  m_budget.NoteOthers(ShortHash("s"), 10, 10, m_now);
+  CHECK(m_budget.Snapshot({ 10000 }, m_now).known_ms == 10000);
+  const RetriesReply other = m_budget.Snapshot({ 5000 }, m_now);
+  CHECK(other.known_ms == 0);
+  CHECK(other.services.empty());
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -325,6 +325,7 @@
     options.started_ms = 1 + aDaemon.run;
     options.seed = options.self.id;
     options.extras = aDaemon.world.m_retries;
+    options.new_fleet = aDaemon.run == 0;
     if (aDaemon.run > 0 || aDaemon.world.m_seeded) {
       options.seeds = { Address(0), Address(1), Address(2) };
     }
--- a/src/sapphirelane/relay/load_exchange.cpp
+++ b/src/sapphirelane/relay/load_exchange.cpp
@@ -41,7 +41,7 @@
 {
   m_load.NoteOwn(aReport);
   if (aReport.begins) {
-    m_retries.NoteRequests(aReport.service, 1, aNow);
+    m_retries.NoteRequest(aReport.service, aNow);
   }
   const bool bad = aReport.bad > 0 || aReport.shed > 0;
   if (bad || aReport.begins || aReport.extra) {
@@ -235,8 +235,8 @@
 LoadExchange::OnService(const ServiceWork& aAdvance, TimePoint aNow)
 {
   const std::string service = m_load.ServiceOf(aAdvance.service);
-  m_retries.NoteRequests(service, aAdvance.requests, aNow);
-  m_retries.NoteExtras(service, aAdvance.extras, aNow);
+  m_retries.NoteOthers(
+    aAdvance.service, aAdvance.requests, aAdvance.extras, aNow);
   m_shortfalls[service].Note(aAdvance.ended, aAdvance.unserved, aNow);
 }
 
--- a/src/sapphirelane/relay/retry_budget_test.cpp
+++ b/src/sapphirelane/relay/retry_budget_test.cpp
@@ -204,7 +204,7 @@
 /// fleet has spent already.
 TEST_CASE("RetryBudget, daemons restart in series while attempts fail, fleet "
           "keeps the budget",
-          "[large][retries]")
+          "[large][retries][restarts]")
 {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     FailingServiceOptions options = OptionsOf(40, 60, 41);
@@ -221,7 +221,7 @@
 
 TEST_CASE("RetryBudget, one daemon after the other restarts while attempts "
           "fail, fleet keeps the budget",
-          "[large][retries]")
+          "[large][retries][restarts]")
 {
   FailingService service(OptionsOf(40, 60, 41));
   service.Run(std::chrono::seconds(4));
@@ -235,7 +235,7 @@
 
 TEST_CASE("RetryBudget, all daemons restart at once while attempts fail, fleet "
           "keeps the budget",
-          "[large][retries]")
+          "[large][retries][restarts]")
 {
   FailingService service(OptionsOf(40, 60, 41));
   service.Run(std::chrono::seconds(4));
@@ -248,7 +248,7 @@
 /// the others yet.
 TEST_CASE("RetryBudget, all attempts fail from one moment on, fleets of three "
           "sizes keep the budget",
-          "[large][retries]")
+          "[large][retries][lag]")
 {
   struct Size
   {
@@ -269,7 +269,7 @@
 
 TEST_CASE("RetryBudget, all attempts fail at 444 daemons, fleet keeps the "
           "budget",
-          "[large][retries][slow]")
+          "[large][retries][fleet444]")
 {
   FailingServiceOptions options = OptionsOf(444, 630, 1500, 5);
   options.failing = 1;
@@ -280,7 +280,7 @@
 
 TEST_CASE("RetryBudget, a tenth of the messages is lost and others are late, "
           "fleet keeps the budget",
-          "[large][retries]")
+          "[large][retries][lag]")
 {
   for (int daemons : { 40, 110 }) {
     FailingServiceOptions options =
@@ -298,7 +298,7 @@
 /// Guards against reports that are lost with the daemon that adds them up.
 TEST_CASE("RetryBudget, daemons of a large fleet restart while attempts fail, "
           "fleet keeps the budget",
-          "[large][retries]")
+          "[large][retries][lag]")
 {
   FailingServiceOptions options = OptionsOf(110, 172, 164);
   FailingService service(options);
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -9,6 +9,7 @@
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/relay/discovery.h"
 #include "sapphirelane/relay/load_exchange.h"
+#include "sapphirelane/relay/retry_handover.h"
 #include "sapphirelane/relay/spreader.h"
 #include "sapphirelane/relay/view_keeper.h"
 
@@ -76,6 +77,12 @@
                   OnViewChanged(aNow, aFrom);
                 })
     , m_load(m_options.self, m_peers, m_sender, m_quota, m_retries)
+    , m_retryHandover(m_options.new_fleet,
+                      m_options.extras.window,
+                      m_env,
+                      m_peers,
+                      m_retries,
+                      m_random)
     , m_view(m_replica.View())
   {
     for (const std::string& seed : m_options.seeds) {
@@ -222,10 +229,7 @@
 
   RetryDecision TakeExtra(const std::string& aService, TimePoint aNow) override
   {
-    RetryDecision decision = m_retries.Take(aService, aNow);
-    decision.known =
-      std::min<Duration>(m_options.extras.window, m_replica.Uptime(aNow));
-    return decision;
+    return m_retries.Take(aService, aNow);
   }
 
   std::vector<ControlEvent> TakeEvents() override
@@ -239,6 +243,7 @@
   {
     m_peers.Tick(aNow);
     m_replica.Tick(aNow);
+    m_retryHandover.Tick(aNow);
     m_discovery.Tick(m_replica.Uptime(aNow), aNow);
     if (aNow >= m_nextPresence) {
       m_nextPresence = aNow + kPresenceInterval;
@@ -285,11 +290,16 @@
                    const BulkReply& aReply,
                    TimePoint aNow) override
   {
-    m_replica.OnBulkReply(aCall, aReply, aNow);
+    if (!m_retryHandover.OnBulkReply(aCall, aReply, aNow)) {
+      m_replica.OnBulkReply(aCall, aReply, aNow);
+    }
   }
 
   BulkMessage ServeBulk(const BulkMessage& aRequest, TimePoint aNow) override
   {
+    if (const auto* retries = std::get_if<FetchRetries>(&aRequest)) {
+      return m_retries.Snapshot(*retries, aNow);
+    }
     const auto* fetch = std::get_if<FetchView>(&aRequest);
     return fetch == nullptr ? ViewReply{} : m_replica.AnswerFetch(*fetch, aNow);
   }
@@ -543,6 +553,7 @@
   Discovery m_discovery;
   ViewReplica m_replica;
   LoadExchange m_load;
+  RetryHandover m_retryHandover;
   const FleetView& m_view; ///< Owned by m_replica.
   KeyDirectory m_keys;
   std::vector<ControlEvent> m_events;
