Spend an even part of the retry budget while others' reports are under way

What callers saw: more retries than the budget allows (BUDGET) where many requests fail at one moment in a large fleet, without any daemon that starts.

Cause: each daemon spent what was left as far as it knew, and in a fleet of more than 48 what others have spent arrives up to half a second later; the margin of a fifth was all that stood against it.

Change: within the time that a report takes, a daemon spends at most its even part of what is left, rounded at random such that the parts add up to it. What is sent in that time by all of them is then bounded by what is left, and 0.9 of the budget can be spent in place of 0.8.

'all daemons decide at one moment' replays it for the class.

--- a/include/sapphirelane/relay/extra_budget.h
+++ b/include/sapphirelane/relay/extra_budget.h
@@ -1,7 +1,9 @@
 #ifndef SAPPHIRELANE_RELAY_EXTRA_BUDGET_H
 #define SAPPHIRELANE_RELAY_EXTRA_BUDGET_H
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -9,6 +11,7 @@
 #include "sapphirelane/base/time.h"
 #include "sapphirelane/membership/fleet_control.h"
 #include "sapphirelane/relay/retry_window.h"
+#include "sapphirelane/routing/random.h"
 
 namespace sapphirelane {
 
@@ -18,9 +21,9 @@
   double share = 0.2; ///< Retries and hedges per request in the window.
   double slack = 50;  ///< Allowance on top of it, for the whole fleet.
   Duration window = Milliseconds(10000);
-  /// Fraction of the budget that is spent: updates from other daemons arrive
-  /// late.
-  double margin = 0.8;
+  /// Fraction of the budget that is spent: updates from other daemons may be
+  /// lost or arrive later than expected.
+  double margin = 0.9;
 };
 
 /// @brief Fleet-wide retry budget of each service, over a sliding window.
@@ -28,6 +31,10 @@
 /// Limits retries and hedged requests to a share of the first attempts, counted
 /// over all daemons, so that retries cannot multiply an overload. A daemon that
 /// does not know the whole window spends nothing, as others may have spent all.
+///
+/// Load pattern: many requests fail at one moment, and all daemons decide
+/// before they know what the others have just spent. In the time that a report
+/// takes, each spends at most its even part of what is left.
 class ExtraBudget
 {
 public:
@@ -56,8 +63,18 @@
   /// use; below 1 while it cannot reach all daemons.
   void SetShare(double aFleetShare) { m_fleetShare = aFleetShare; }
 
+  /// @brief Sets the number of daemons that spend, and the time after which
+  /// the others know what one of them has spent.
+  void SetFleet(std::size_t aDaemons, Duration aReportTime);
+
+  /// @brief Sets a moment of which the others may still not know what this
+  /// daemon has spent since, however long ago it was.
+  void SetReportedUntil(TimePoint aMoment) { m_reportedUntil = aMoment; }
+
   /// @brief Spends one retry or hedge if the budget allows it.
-  RetryDecision Take(const std::string& aService, TimePoint aNow);
+  RetryDecision Take(const std::string& aService,
+                     TimePoint aNow,
+                     Random& aRandom);
 
   /// @brief What another daemon needs to know the windows of this one: those
   /// with retries, if there are too many those with most.
@@ -67,12 +84,29 @@
   void Merge(const RetriesReply& aSnapshot, TimePoint aNow);
 
 private:
+  /// What this daemon has spent and the others may not know yet.
+  struct Unreported
+  {
+    std::deque<TimePoint> spent;
+    /// Rounds this daemon's part of what is left to a whole number, such that
+    /// the parts of all daemons add up to it on average.
+    double rounding = 0;
+    TimePoint rounding_drawn_at = TimePoint::min();
+  };
+
   RetryWindow& WindowOf(std::uint32_t aService);
+  Unreported& UnreportedOf(std::uint32_t aService,
+                           TimePoint aNow,
+                           Random& aRandom);
 
   ExtraBudgetOptions m_options;
   double m_fleetShare = 1;
+  double m_daemons = 1;
+  Duration m_reportTime{ 0 };
+  TimePoint m_reportedUntil = TimePoint::max();
   TimePoint m_knownSince = TimePoint::min();
   std::map<std::uint32_t, RetryWindow> m_windows; ///< By hash of the service.
+  std::map<std::uint32_t, Unreported> m_unreported;
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/extra_budget.cpp
+++ b/src/sapphirelane/relay/extra_budget.cpp
@@ -50,19 +50,51 @@
   }
 }
 
+void
+ExtraBudget::SetFleet(std::size_t aDaemons, Duration aReportTime)
+{
+  m_daemons = static_cast<double>(std::max<std::size_t>(1, aDaemons));
+  m_reportTime = aReportTime;
+}
+
+ExtraBudget::Unreported&
+ExtraBudget::UnreportedOf(std::uint32_t aService,
+                          TimePoint aNow,
+                          Random& aRandom)
+{
+  Unreported& unreported = m_unreported[aService];
+  const TimePoint reported = std::min(aNow, m_reportedUntil) - m_reportTime;
+  auto& spent = unreported.spent;
+  while (!spent.empty() && spent.front() <= reported) {
+    spent.pop_front();
+  }
+  if (unreported.rounding_drawn_at <= aNow - m_reportTime) {
+    unreported.rounding_drawn_at = aNow;
+    unreported.rounding = std::uniform_real_distribution<double>(0, 1)(aRandom);
+  }
+  return unreported;
+}
+
 RetryDecision
-ExtraBudget::Take(const std::string& aService, TimePoint aNow)
+ExtraBudget::Take(const std::string& aService, TimePoint aNow, Random& aRandom)
 {
-  RetryWindow& window = WindowOf(ShortHash(aService));
+  const std::uint32_t service = ShortHash(aService);
+  RetryWindow& window = WindowOf(service);
   RetryDecision decision;
   decision.known = Known(aNow);
   decision.spent = window.Retries(aNow);
-  decision.budget = (window.Requests(aNow) * m_options.share +
-                     m_options.slack * m_fleetShare) *
-                    m_options.margin;
-  decision.allowed = IsKnown(aNow) && decision.spent + 1 <= decision.budget;
+  decision.budget =
+    (window.Requests(aNow) * m_options.share + m_options.slack * m_fleetShare) *
+    m_options.margin;
+  Unreported& unreported = UnreportedOf(service, aNow, aRandom);
+  const auto own = static_cast<double>(unreported.spent.size());
+  const double left = decision.budget - (decision.spent - own);
+  const bool withinPart = own + 1 <= left / m_daemons + unreported.rounding;
+  decision.allowed =
+    IsKnown(aNow) && withinPart && decision.spent + 1 <= decision.budget;
   if (decision.allowed) {
     window.Add(0, 1, aNow);
+    unreported.spent.push_back(aNow);
   }
   return decision;
 }
@@ -102,8 +134,8 @@
     WindowOf(service.service).RaiseTo(service.parts, aNow);
   }
   const TimePoint knownSince =
-    aNow - std::min<Duration>(Milliseconds(aSnapshot.known_ms),
-                              m_options.window);
+    aNow -
+    std::min<Duration>(Milliseconds(aSnapshot.known_ms), m_options.window);
   m_knownSince = std::min(m_knownSince, knownSince);
 }
 
--- a/src/sapphirelane/relay/extra_budget_test.cpp
+++ b/src/sapphirelane/relay/extra_budget_test.cpp
@@ -27,7 +27,7 @@
       now += std::chrono::duration_cast<Duration>(Seconds(gap(random)));
       budget.NoteRequest("s", now);
       requests.push_back(now);
-      if (budget.Take("s", now).allowed) {
+      if (budget.Take("s", now, random).allowed) {
         retries.push_back(now);
       }
       const auto within = [&](const std::vector<TimePoint>& aTimes) {
@@ -44,10 +44,56 @@
 TEST_CASE("FleetRetryBudget, spent by other daemons, refuses a retry")
 {
   ExtraBudget budget({});
+  Random random(1);
   const TimePoint now{ std::chrono::hours(1) };
   budget.NoteOthers(ShortHash("s"), 10, 60, now);
-  CHECK_FALSE(budget.Take("s", now).allowed);
-  CHECK(budget.Take("other", now).allowed);
+  CHECK_FALSE(budget.Take("s", now, random).allowed);
+  CHECK(budget.Take("other", now, random).allowed);
+}
+
+/// Guards against daemons that each spend what is left before one knows what
+/// the others have spent.
+TEST_CASE("RetryBudget, all daemons decide at one moment, spend what is left "
+          "once")
+{
+  for (const int daemons : { 10, 100, 444 }) {
+    for (const int spentBefore : { 0, 100, 150 }) {
+      Random random(static_cast<std::uint32_t>(daemons));
+      const TimePoint now{ std::chrono::hours(1) };
+      ExtraBudgetOptions options;
+      options.slack = 100;
+      int spent = spentBefore;
+      for (int daemon = 0; daemon < daemons; ++daemon) {
+        ExtraBudget budget(options);
+        budget.SetFleet(static_cast<std::size_t>(daemons), Milliseconds(500));
+        budget.NoteOthers(
+          ShortHash("s"), 500, static_cast<std::uint32_t>(spentBefore), now);
+        for (int i = 0; i < 300; ++i) {
+          spent += budget.Take("s", now + Milliseconds(i), random).allowed;
+        }
+      }
+      CHECK(spent <= 200); // 0.2 for each of 500 requests, and the slack.
+      CHECK(spent >= 150);
+    }
+  }
+}
+
+TEST_CASE("RetryBudget, this daemon's reports do not arrive, spends its part "
+          "of what is left once")
+{
+  ExtraBudget budget({});
+  Random random(1);
+  TimePoint now{ std::chrono::hours(1) };
+  budget.SetFleet(9, Milliseconds(500));
+  budget.SetReportedUntil(now);
+  int spent = 0;
+  for (int i = 0; i < 50; ++i) {
+    spent += budget.Take("s", now += Milliseconds(100), random).allowed;
+  }
+  CHECK(spent >= 5); // Of 45.
+  CHECK(spent <= 6);
+  budget.SetReportedUntil(now);
+  CHECK(budget.Take("s", now += Milliseconds(600), random).allowed);
 }
 
 class StartedDaemonFixture
@@ -63,6 +109,7 @@
   }
 
   TimePoint m_now{ std::chrono::hours(1) };
+  Random m_random{ 1 };
   ExtraBudget m_budget{ {} };
 };
 
@@ -71,9 +118,9 @@
                  "another one tells the window")
 {
   m_budget.ForgetBefore(m_now);
-  CHECK_FALSE(m_budget.Take("s", m_now).allowed);
+  CHECK_FALSE(m_budget.Take("s", m_now, m_random).allowed);
   m_budget.Merge(SnapshotOf(10000, 10), m_now);
-  const RetryDecision decision = m_budget.Take("s", m_now);
+  const RetryDecision decision = m_budget.Take("s", m_now, m_random);
   CHECK(decision.allowed);
   CHECK(decision.spent == 10);
   CHECK(decision.known == std::chrono::seconds(10));
@@ -87,9 +134,9 @@
   m_now += std::chrono::seconds(2);
   m_budget.Merge(SnapshotOf(3000, 0), m_now); // Has run for a second more.
   m_now += Milliseconds(6900);
-  CHECK_FALSE(m_budget.Take("s", m_now).allowed);
+  CHECK_FALSE(m_budget.Take("s", m_now, m_random).allowed);
   m_now += Milliseconds(200);
-  CHECK(m_budget.Take("s", m_now).allowed);
+  CHECK(m_budget.Take("s", m_now, m_random).allowed);
 }
 
 TEST_CASE_METHOD(StartedDaemonFixture,
@@ -101,10 +148,10 @@
   snapshot.services.resize(100'000, { 7, { { kMax, kMax, kMax } } });
   m_budget.ForgetBefore(m_now);
   m_budget.Merge(snapshot, m_now);
-  CHECK_FALSE(m_budget.Take("s", m_now).allowed);
+  CHECK_FALSE(m_budget.Take("s", m_now, m_random).allowed);
   CHECK(m_budget.Snapshot({ 10000 }, m_now).services.size() == 1);
   m_now += std::chrono::seconds(11);
-  CHECK(m_budget.Take("s", m_now).allowed);
+  CHECK(m_budget.Take("s", m_now, m_random).allowed);
 }
 
 TEST_CASE_METHOD(StartedDaemonFixture,
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -37,6 +37,11 @@
 constexpr std::size_t kGossipTargets = 5;
 constexpr Milliseconds kDirectPresenceTime{ 3000 };
 
+/// Time after which all daemons know what one of them has reported; longer in
+/// a large fleet, where reports are added up on the way.
+constexpr Milliseconds kReportTime{ 150 };
+constexpr Milliseconds kReportTimeLargeFleet{ 600 };
+
 /// Fleets with more daemons than this count as large, see LoadExchange.
 constexpr std::size_t kLargeFleetDaemons = 48;
 
@@ -229,7 +234,7 @@
 
   RetryDecision TakeExtra(const std::string& aService, TimePoint aNow) override
   {
-    return m_retries.Take(aService, aNow);
+    return m_retries.Take(aService, aNow, m_random);
   }
 
   std::vector<ControlEvent> TakeEvents() override
@@ -446,6 +451,9 @@
     m_load.UpdateMembership(aCounted > kLargeFleetDaemons, aNow);
     m_rank = { m_peers.CountedOrder(aNow), aCounted };
     m_retries.SetShare(m_quota.Share());
+    m_retries.SetFleet(aCounted,
+                       aCounted > kLargeFleetDaemons ? kReportTimeLargeFleet
+                                                     : kReportTime);
     if (aLive != m_live) {
       LogLine("peers",
               "Daemons that live have changed.",
