Hand the sums of a data centre over with the reports that they lack

What callers saw: more retries than the budget allows (BUDGET), in large fleets in which the daemon that adds up the reports of its data centre ends; account limits use the same sums.

Cause: a daemon that takes over started its sums at 0 and counted each daemon's reports from the first that it got, so that all reports since the last sums were lost: those of the 1.6 to 4 s until the loss is noticed. Its own earlier reports from a time in which others added up could also be taken for new, as could those of a daemon that had first sent it reports about endpoints, and requests that are counted twice raise the budget.

Change: the second keeps what it was reported and the sums do not hold yet, and begins with that; a daemon that is new to the reports first gets what was summed of each counter; reports from an earlier turn are dropped; the sums of the next origin count from 0. What a daemon spends counts as not known to the others until its data centre's sums come again.

'daemon that adds up fails before its last sums' is the class's. In 'daemon that takes over its data centre's totals' the daemon before now sends its sums, as it does in a fleet: without them its reports are what sums lack; all its checks stay.

--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -94,10 +94,10 @@
   /// their hosts; this daemon is not among them.
   std::map<std::uint32_t, std::string> NeighboursByHash(TimePoint aNow) const;
 
-  /// @brief Addresses of the first aCount live daemons of this data centre in
-  /// the order of NeighbourOrder, without this one.
-  std::vector<std::string> LeadingNeighbours(std::size_t aCount,
-                                             TimePoint aNow) const;
+  /// @brief The first aCount live daemons of this data centre in the order of
+  /// NeighbourOrder, without this one.
+  std::vector<MemberInfo> LeadingNeighbours(std::size_t aCount,
+                                            TimePoint aNow) const;
 
   /// @brief Hash of this daemon's host.
   std::uint32_t SelfHash() const { return m_selfHash; }
--- a/src/sapphirelane/relay/counter_exchange.cpp
+++ b/src/sapphirelane/relay/counter_exchange.cpp
@@ -36,9 +36,26 @@
 /// differ for a moment, and what they count must not count twice.
 constexpr Milliseconds kOriginTimeout{ 700 };
 
+/// Time without any report after which a daemon that takes over as the second
+/// counts anew, as reports went to others meanwhile.
+constexpr Milliseconds kMaxReportGap{ 1000 };
+
+/// Silence of a data centre up to which another daemon's sums are taken from 0.
+constexpr Milliseconds kMaxTurnGap{ 6000 };
+
 /// Distinguishes the origin id of sums from that of the daemon that sends them.
 constexpr NodeId kSumsOriginMask = 0x8000000000000000ULL;
 
+std::vector<std::string>
+AddressesOf(const std::vector<MemberInfo>& aMembers)
+{
+  std::vector<std::string> addresses;
+  for (const MemberInfo& member : aMembers) {
+    addresses.push_back(member.address);
+  }
+  return addresses;
+}
+
 } // namespace
 
 CounterExchange::CounterExchange(MemberInfo aSelf,
@@ -53,6 +70,21 @@
 {
 }
 
+std::uint32_t&
+CounterExchange::FieldOf(ServiceWork& aWork, Field aField)
+{
+  switch (aField) {
+    case Field::Requests:
+      return aWork.requests;
+    case Field::Extras:
+      return aWork.extras;
+    case Field::Ended:
+      return aWork.ended;
+    default:
+      return aWork.unserved;
+  }
+}
+
 void
 CounterExchange::Tick(WorkBoard& aOwn, std::uint32_t& aSequence, TimePoint aNow)
 {
@@ -76,14 +108,55 @@
   for (const AccountWork& work : report.accounts) {
     RecordReported(Field::Spent, work.account, work.spent);
   }
-  for (const ServiceWork& work : report.services) {
-    RecordReported(Field::Requests, work.service, work.requests);
-    RecordReported(Field::Extras, work.service, work.extras);
-    RecordReported(Field::Ended, work.service, work.ended);
-    RecordReported(Field::Unserved, work.service, work.unserved);
+  for (ServiceWork& work : report.services) {
+    for (const Field field : kServiceFields) {
+      RecordReported(field, work.service, FieldOf(work, field));
+    }
   }
-  OnReport(report);
-  m_sender.SendTo(m_peers.LeadingNeighbours(kReportTargets, aNow), report);
+  OnReport(report, aNow);
+  const auto targets = m_peers.LeadingNeighbours(kReportTargets, aNow);
+  SendSummed(targets, aSequence);
+  report.sequence = ++aSequence;
+  m_sender.SendTo(AddressesOf(targets), report);
+}
+
+/// Sends to daemons that get this daemon's reports for the first time, so that
+/// they count from what the sums have held.
+void
+CounterExchange::SendSummed(const std::vector<MemberInfo>& aTargets,
+                            std::uint32_t& aSequence)
+{
+  std::vector<MemberInfo> added;
+  std::vector<NodeId> targets;
+  for (const MemberInfo& target : aTargets) {
+    targets.push_back(target.id);
+    if (std::count(m_targets.begin(), m_targets.end(), target.id) == 0) {
+      added.push_back(target);
+    }
+  }
+  m_targets = std::move(targets);
+  const bool originChanged = std::exchange(m_originChanged, false);
+  if (added.empty()) {
+    return;
+  }
+  WorkNews summed;
+  summed.origin = m_self.id;
+  summed.sequence = ++aSequence;
+  std::map<std::uint32_t, ServiceWork> services;
+  for (const auto& [key, part] : m_own) {
+    const auto value = static_cast<std::uint32_t>(
+      originChanged ? part.summed_before : part.Summed());
+    if (key.first == Field::Spent) {
+      summed.accounts.push_back({ key.second, value });
+    } else {
+      services[key.second].service = key.second;
+      FieldOf(services[key.second], key.first) = value;
+    }
+  }
+  for (const auto& entry : services) {
+    summed.services.push_back(entry.second);
+  }
+  m_sender.SendTo(AddressesOf(added), summed);
 }
 
 void
@@ -96,14 +169,23 @@
 }
 
 void
-CounterExchange::OnReport(const WorkNews& aReport)
+CounterExchange::OnReport(const WorkNews& aReport, TimePoint aNow)
 {
+  if (aReport.accounts.empty() && aReport.services.empty()) {
+    return; // It is about endpoints only.
+  }
+  if (aReport.origin != m_self.id) {
+    DropStaleReports(aNow);
+    m_reportedAt = aNow;
+  }
   ReceivedCounters& counters = m_reports[aReport.origin];
   if (!counters.RecordMessage(aReport.sequence)) {
     return;
   }
   for (const AccountWork& work : aReport.accounts) {
     const std::uint32_t advance = counters.AdvanceSpent(work);
+    m_unsummed[{ Field::Spent, work.account }] +=
+      static_cast<std::int32_t>(advance);
     m_sums.spent[work.account] += advance;
     const double unsent = m_sums.unsent[work.account] +=
       static_cast<std::int32_t>(advance);
@@ -113,13 +195,13 @@
                          m_sink.BurstOf(work.account) * kUrgentBurstShare);
   }
   for (const ServiceWork& work : aReport.services) {
-    const ServiceWork advance = counters.AdvanceService(work);
+    ServiceWork advance = counters.AdvanceService(work);
     ServiceWork& sum = m_sums.services[work.service];
     sum.service = work.service;
-    sum.requests += advance.requests;
-    sum.extras += advance.extras;
-    sum.ended += advance.ended;
-    sum.unserved += advance.unserved;
+    for (const Field field : kServiceFields) {
+      FieldOf(sum, field) += FieldOf(advance, field);
+      m_unsummed[{ field, work.service }] += FieldOf(advance, field);
+    }
     m_sums.changed_services.insert(work.service);
   }
 }
@@ -130,18 +212,20 @@
 {
   if (m_isFirst || aNow >= m_nextRankCheck) {
     m_nextRankCheck = aNow + kRankCheckInterval;
-    m_isFirst = m_peers.NeighbourOrder(aNow) == 0;
+    const std::size_t order = m_peers.NeighbourOrder(aNow);
+    m_isFirst = order == 0;
+    const bool isTarget = order < kReportTargets;
+    if (isTarget && !m_isTarget) {
+      DropStaleReports(aNow);
+    }
+    m_isTarget = isTarget;
   }
   if (!m_isFirst) {
     m_addsUp = false;
     return;
   }
   if (!m_addsUp) {
-    // The daemon before has sent what came earlier. If it has failed, the
-    // reports since its last sums are lost.
-    m_addsUp = true;
-    m_sums = {};
-    ++m_turn;
+    TakeOver();
   }
   const bool changed =
     !m_sums.unsent.empty() || !m_sums.changed_services.empty();
@@ -170,11 +254,69 @@
     update, m_sender.PickRelaysIn(m_self.data_centre, kRelaysPerCentre, aNow));
 }
 
+/// Drops what was counted when reports last came here, if they have gone to
+/// others since.
+void
+CounterExchange::DropStaleReports(TimePoint aNow)
+{
+  if (!m_isTarget && aNow - m_reportedAt > kMaxReportGap) {
+    m_reports.clear();
+    m_unsummed.clear();
+  }
+}
+
+/// Starts new sums with what the daemon before has not sent.
+void
+CounterExchange::TakeOver()
+{
+  m_addsUp = true;
+  m_sums = {};
+  ++m_turn;
+  for (const auto& [key, count] : m_unsummed) {
+    const auto& [field, id] = key;
+    if (count <= 0) {
+      continue;
+    }
+    const auto value = static_cast<std::uint32_t>(count);
+    if (field == Field::Spent) {
+      m_sums.spent[id] = value;
+      m_sums.unsent[id] = static_cast<double>(value);
+    } else {
+      m_sums.services[id].service = id;
+      FieldOf(m_sums.services[id], field) = value;
+      m_sums.changed_services.insert(id);
+    }
+  }
+}
+
+/// Records that the sums of this data centre hold more of a counter.
+void
+CounterExchange::NoteSummed(Field aField,
+                            std::uint32_t aKey,
+                            std::uint32_t aAdvance)
+{
+  auto found = m_unsummed.find({ aField, aKey });
+  if (found != m_unsummed.end()) {
+    found->second -= static_cast<std::int32_t>(aAdvance);
+    if (found->second <= 0) {
+      m_unsummed.erase(found);
+    }
+  }
+}
+
+TimePoint
+CounterExchange::SumsHeardAt() const
+{
+  auto found = m_centres.find(m_centre);
+  return found == m_centres.end() ? TimePoint::min() : found->second.heard_at;
+}
+
 /// Whether sums of an origin are to be applied. Only one origin counts at a
 /// time in each data centre.
 bool
 CounterExchange::AcceptsOrigin(CentreState& aState,
                                NodeId aOrigin,
+                               bool aOwnCentre,
                                TimePoint aNow)
 {
   if (aState.origin != aOrigin) {
@@ -183,13 +325,21 @@
     if (!silent) {
       return false;
     }
-    aState.origin = aOrigin;
-    aState.counters = {};
-    for (auto& entry : m_own) {
-      entry.second.taken_off = entry.second.reported;
-      entry.second.open = 0;
+    // What an origin sums up is new, unless so much time has passed that it may
+    // have begun long ago.
+    const bool missedNone =
+      aState.origin != 0 && aNow - aState.heard_at < kMaxTurnGap;
+    aState.counters = ReceivedCounters(missedNone);
+    if (aOwnCentre) {
+      m_originChanged = true;
+      for (auto& entry : m_own) {
+        OwnPart& part = entry.second;
+        part.summed_before = part.taken_off = part.Summed();
+        part.open = 0;
+      }
     }
   }
+  aState.origin = aOrigin;
   aState.heard_at = aNow;
   return true;
 }
@@ -198,14 +348,14 @@
 CounterExchange::OnSums(const WorkNews& aSums, TimePoint aNow)
 {
   CentreState& state = m_centres[aSums.centre];
-  if (!AcceptsOrigin(state, aSums.origin, aNow) ||
+  const bool own = aSums.centre == m_centre;
+  if (!AcceptsOrigin(state, aSums.origin, own, aNow) ||
       !state.counters.RecordMessage(aSums.sequence)) {
     return;
   }
   if (aSums.spread) {
     m_sender.SendLocally(aSums, aNow);
   }
-  const bool own = aSums.centre == m_centre;
   const auto ofOthers =
     [&](Field aField, std::uint32_t aKey, std::uint32_t aAdvance) {
       return own ? TakeOffOwn(aField, aKey, aAdvance) : aAdvance;
@@ -220,10 +370,10 @@
   for (const ServiceWork& work : aSums.services) {
     ServiceWork advance = state.counters.AdvanceService(work);
     const std::uint32_t service = work.service;
-    advance.requests = ofOthers(Field::Requests, service, advance.requests);
-    advance.extras = ofOthers(Field::Extras, service, advance.extras);
-    advance.ended = ofOthers(Field::Ended, service, advance.ended);
-    advance.unserved = ofOthers(Field::Unserved, service, advance.unserved);
+    for (const Field field : kServiceFields) {
+      std::uint32_t& counter = FieldOf(advance, field);
+      counter = ofOthers(field, service, counter);
+    }
     m_sink.OnService(advance, aNow);
   }
 }
@@ -237,6 +387,7 @@
                             std::uint32_t aAdvance)
 {
   OwnPart& part = m_own[{ aField, aKey }];
+  NoteSummed(aField, aKey, aAdvance);
   part.open += static_cast<std::int32_t>(aAdvance);
   part.open -= part.reported - std::exchange(part.taken_off, part.reported);
   const std::int64_t count = std::max<std::int64_t>(0, part.open);
--- a/src/sapphirelane/relay/counter_exchange.h
+++ b/src/sapphirelane/relay/counter_exchange.h
@@ -1,10 +1,13 @@
 #ifndef SAPPHIRELANE_RELAY_COUNTER_EXCHANGE_H
 #define SAPPHIRELANE_RELAY_COUNTER_EXCHANGE_H
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "sapphirelane/relay/received_counters.h"
 #include "sapphirelane/relay/spreader.h"
@@ -33,7 +36,9 @@
 /// accounts whose limits hold for all of them together. Each daemon reports to
 /// the first two daemons of its data centre. The first one adds the reports up
 /// and sends the sums, by way of one daemon of each data centre, to all; the
-/// second takes over when it is lost. A receiver takes its own part off the sum
+/// second takes over when it is lost, with the reports that the sums did not
+/// hold yet; a daemon that is new to the reports gets what was summed of each
+/// counter first. A receiver takes its own part off the sum
 /// of its data centre. The messages of a daemon do not grow with the fleet, but
 /// for those of the daemon that adds up, which grow with its data centre.
 class CounterExchange
@@ -51,11 +56,14 @@
   void Tick(WorkBoard& aOwn, std::uint32_t& aSequence, TimePoint aNow);
 
   /// @brief Applies the report of a daemon of this data centre.
-  void OnReport(const WorkNews& aReport);
+  void OnReport(const WorkNews& aReport, TimePoint aNow);
 
   /// @brief Applies the sums of a data centre and forwards them if asked to.
   void OnSums(const WorkNews& aSums, TimePoint aNow);
 
+  /// @brief When this daemon last had sums of its own data centre.
+  TimePoint SumsHeardAt() const;
+
 private:
   /// Sums of a data centre as received.
   struct CentreState
@@ -82,6 +90,11 @@
     std::int64_t reported = 0;  ///< As last reported.
     std::int64_t taken_off = 0; ///< Of that, taken off already.
     std::int64_t open = 0; ///< Of others; below 0 if too much was taken off.
+
+    std::int64_t summed_before = 0; ///< Summed when the origin last changed.
+
+    /// Of the reported counter, what the sums have held so far.
+    std::int64_t Summed() const { return taken_off + open; }
   };
 
   /// A counter of one key.
@@ -94,9 +107,25 @@
     Unserved,
   };
 
+  using CounterKey = std::pair<Field, std::uint32_t>;
+
+  static constexpr std::array<Field, 4> kServiceFields{ Field::Requests,
+                                                        Field::Extras,
+                                                        Field::Ended,
+                                                        Field::Unserved };
+  static std::uint32_t& FieldOf(ServiceWork& aWork, Field aField);
+
   void SendReport(WorkBoard& aOwn, std::uint32_t& aSequence, TimePoint aNow);
+  void SendSummed(const std::vector<MemberInfo>& aTargets,
+                  std::uint32_t& aSequence);
+  void DropStaleReports(TimePoint aNow);
+  void TakeOver();
+  void NoteSummed(Field aField, std::uint32_t aKey, std::uint32_t aAdvance);
   void SendSums(TimePoint aNow);
-  bool AcceptsOrigin(CentreState& aState, NodeId aOrigin, TimePoint aNow);
+  bool AcceptsOrigin(CentreState& aState,
+                     NodeId aOrigin,
+                     bool aOwnCentre,
+                     TimePoint aNow);
   void RecordReported(Field aField, std::uint32_t aKey, std::uint32_t aValue);
   std::uint32_t TakeOffOwn(Field aField,
                            std::uint32_t aKey,
@@ -108,12 +137,19 @@
   const UpdateSender& m_sender;
   CounterSink& m_sink;
   TimePoint m_nextRankCheck{};
-  bool m_isFirst = false; ///< In the order of the data centre.
+  bool m_isFirst = false;   ///< In the order of the data centre.
+  bool m_isTarget = false;  ///< The others send it their reports.
+  TimePoint m_reportedAt{}; ///< The latest report of another daemon.
   TimePoint m_lastReport{};
   TimePoint m_lastSums{};
   std::map<NodeId, ReceivedCounters> m_reports; ///< By daemon.
   std::map<std::uint32_t, CentreState> m_centres;
-  std::map<std::pair<Field, std::uint32_t>, OwnPart> m_own;
+  std::map<CounterKey, OwnPart> m_own;
+  /// Reports received here that the sums do not hold yet.
+  std::map<CounterKey, std::int64_t> m_unsummed;
+  /// Another daemon adds up since this daemon's last report.
+  bool m_originChanged = false;
+  std::vector<NodeId> m_targets; ///< That got this daemon's last report.
   Sums m_sums;
   bool m_addsUp = false;    ///< This daemon sends the sums.
   std::uint32_t m_turn = 0; ///< Times that it took this over.
--- a/src/sapphirelane/relay/load_exchange.cpp
+++ b/src/sapphirelane/relay/load_exchange.cpp
@@ -109,6 +109,8 @@
   if (m_large) {
     m_counters.Tick(m_load, m_sequence, aNow);
   }
+  m_retries.SetReportedUntil(m_large ? m_counters.SumsHeardAt()
+                                     : TimePoint::max());
 }
 
 std::vector<FleetEvidence>
@@ -201,7 +203,7 @@
     work.begun = received.AdvanceBegun(work);
   }
   if (m_large) {
-    m_counters.OnReport(aUpdate);
+    m_counters.OnReport(aUpdate, aNow);
     return m_load.Take(advanced, aNow);
   }
   for (const AccountWork& work : aUpdate.accounts) {
--- a/src/sapphirelane/relay/load_exchange_test.cpp
+++ b/src/sapphirelane/relay/load_exchange_test.cpp
@@ -50,6 +50,17 @@
     return update;
   }
 
+  /// Sums of this data centre, as another daemon sends them.
+  static WorkNews Sums(std::uint32_t aSequence,
+                       const char* aAccount,
+                       std::uint32_t aSpent)
+  {
+    WorkNews update = SpentUpdate(aSequence, aAccount, aSpent);
+    update.origin = 70;
+    update.centre = ShortHash("a");
+    return update;
+  }
+
   /// @return Number of requests of an account that are admitted at once.
   int AvailableTokens(const char* aAccount)
   {
@@ -128,6 +139,7 @@
     receivePresence(lowerRanked, 7, "a");
     receivePresence("far", 8, "b");
     m_exchange.OnUpdate(SpentUpdate(step, "a", 10 * step), m_now);
+    m_exchange.OnUpdate(Sums(step, "a", 10 * step), m_now);
     m_exchange.Tick(m_now);
     m_now += Milliseconds(100);
   }
@@ -156,6 +168,36 @@
   CHECK(m_env.sent[1].accounts[0].spent == 2);
 }
 
+/// Guards against reports that are lost with the daemon that adds them up.
+TEST_CASE_METHOD(
+  LoadExchangeFixture,
+  "LoadExchange, daemon that adds up fails before its last sums, "
+  "the next one sends what they lack")
+{
+  std::string lowerRanked = "x";
+  while (ShortHash(lowerRanked) >= ShortHash("self")) {
+    lowerRanked += "x";
+  }
+  const auto receivePresence =
+    [&](const std::string& aHost, NodeId aId, const char* aIn) {
+      PresenceNews update;
+      update.self = { aId, aHost, aIn, aHost + ":1" };
+      m_peers.OnPresence(update, m_now);
+    };
+  receivePresence(lowerRanked, 7, "a");
+  receivePresence("far", 8, "b");
+  m_exchange.UpdateMembership(true, m_now);
+  m_exchange.OnUpdate(SpentUpdate(1, "a", 10), m_now);
+  m_exchange.OnUpdate(Sums(1, "a", 10), m_now);
+  m_exchange.OnUpdate(SpentUpdate(2, "a", 35), m_now);
+  m_exchange.Tick(m_now += Milliseconds(100));
+  m_now += Milliseconds(1700); // The lower-ranked daemon has failed.
+  receivePresence("far", 8, "b");
+  m_exchange.Tick(m_now);
+  REQUIRE(m_env.sent.size() == 1);
+  CHECK(m_env.sent[0].accounts[0].spent == 25);
+}
+
 TEST_CASE_METHOD(LoadExchangeFixture,
                  "LoadExchange, report of a request's end is lost, frees its "
                  "slot once the request must have ended")
--- a/src/sapphirelane/relay/peer_book.cpp
+++ b/src/sapphirelane/relay/peer_book.cpp
@@ -277,10 +277,10 @@
   return addresses;
 }
 
-std::vector<std::string>
+std::vector<MemberInfo>
 PeerBook::LeadingNeighbours(std::size_t aCount, TimePoint aNow) const
 {
-  std::vector<std::string> leading;
+  std::vector<MemberInfo> leading;
   std::size_t rank = 0;
   auto neighbours = NeighboursByHash(aNow);
   neighbours[m_selfHash] = std::string();
@@ -289,7 +289,7 @@
       break;
     }
     if (!entry.second.empty()) {
-      leading.push_back(entry.second);
+      leading.push_back(m_peerByHash.at(entry.first)->info);
     }
   }
   return leading;
--- a/src/sapphirelane/relay/received_counters.h
+++ b/src/sapphirelane/relay/received_counters.h
@@ -14,6 +14,13 @@
 class ReceivedCounters
 {
 public:
+  /// @param aFromZero All that the origin has counted is new here, whatever
+  /// message comes first.
+  explicit ReceivedCounters(bool aFromZero = false)
+    : m_fromZero(aFromZero)
+  {
+  }
+
   /// @brief Records the sequence number of a received message.
   /// @return False if it is a duplicate or older than the latest one.
   bool RecordMessage(std::uint32_t aSequence)
@@ -21,8 +28,9 @@
     if (aSequence <= m_sequence) {
       return false;
     }
-    m_sinceStart =
-      m_sequence == 0 ? aSequence <= kMaxFirstSequence : m_sinceStart;
+    m_sinceStart = m_sequence == 0
+                     ? m_fromZero || aSequence <= kMaxFirstSequence
+                     : m_sinceStart;
     m_sequence = aSequence;
     return true;
   }
@@ -76,6 +84,7 @@
     return aValue - std::exchange(found->second, aValue);
   }
 
+  bool m_fromZero;
   std::uint32_t m_sequence = 0; ///< Newest message; 0 before the first.
   /// Its messages were received from its start on, so that everything that it
   /// has counted is new here.
--- a/src/sapphirelane/relay/retry_budget_test.cpp
+++ b/src/sapphirelane/relay/retry_budget_test.cpp
@@ -65,7 +65,23 @@
     }
   }
 
-  FleetWorld& World() { return m_world; }
+  /// Ends the first daemons of each data centre in the order in which they add
+  /// up its reports.
+  void KillFirst(std::size_t aOfEachCentre)
+  {
+    std::map<int, std::map<std::uint32_t, int>> byCentre;
+    for (int i = 0; i < m_world.Size(); ++i) {
+      const std::uint32_t hash = ShortHash("host-" + std::to_string(i));
+      byCentre[i % m_options.centres][hash] = i;
+    }
+    for (const auto& [centre, daemons] : byCentre) {
+      std::size_t killed = 0;
+      for (auto it = daemons.begin(); killed < aOfEachCentre; ++it, ++killed) {
+        m_world.Kill(it->second);
+        m_live[static_cast<std::size_t>(it->second)] = false;
+      }
+    }
+  }
 
   /// Highest share of the allowed retries that was sent in a window. The
   /// requests are those of the window, of the one before it or of the one half
@@ -296,6 +312,21 @@
 }
 
 /// Guards against reports that are lost with the daemon that adds them up.
+TEST_CASE(
+  "RetryBudget, daemons that add up reports end, fleet keeps the budget",
+  "[large][retries][lag]")
+{
+  for (std::size_t killed : { 1, 2 }) {
+    FailingServiceOptions options = OptionsOf(110, 172, 400);
+    options.failing = 1;
+    FailingService service(options);
+    service.Run(Milliseconds(300));
+    service.KillFirst(killed);
+    service.Run(std::chrono::seconds(12));
+    CHECK(WorstShareOf(service, "daemons that add up end") <= 1);
+  }
+}
+
 TEST_CASE("RetryBudget, daemons of a large fleet restart while attempts fail, "
           "fleet keeps the budget",
           "[large][retries][lag]")
