Share the whole retry budget between the sides of a cut, and spend less unheard

What callers saw: nothing of this yet; found by asking what a cut does to the retry budget.

Cause: while a cut is not noticed, and afterwards from the requests that were known before it, each side spends the whole budget. Only the slack was shared by reach, with the extra of account limits for a majority on top, and a daemon alone went on spending.

Change: the share of daemons that are reached applies to the whole budget; what a daemon has spent since it last heard another one counts as not known to the others; the even part holds for 0.5 s, in a large fleet for 1 s, the time in which a silence cannot be told from a pause.

--- a/include/sapphirelane/relay/extra_budget.h
+++ b/include/sapphirelane/relay/extra_budget.h
@@ -59,8 +59,8 @@
                   std::uint32_t aRetries,
                   TimePoint aNow);
 
-  /// @brief Sets the share of the fleet-wide allowance that this daemon may
-  /// use; below 1 while it cannot reach all daemons.
+  /// @brief Sets the share of the budget that this daemon and those that it
+  /// reaches may use; below 1 while it cannot reach all daemons.
   void SetShare(double aFleetShare) { m_fleetShare = aFleetShare; }
 
   /// @brief Sets the number of daemons that spend, and the time after which
--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -84,6 +84,13 @@
   /// PeerTableOptions::forget_after.
   void Tick(TimePoint aNow);
 
+  /// @brief Time of the latest heartbeat of another daemon; the far future if
+  /// none is known.
+  TimePoint HeardAt() const
+  {
+    return m_peers.empty() ? TimePoint::max() : m_heardAt;
+  }
+
   /// @brief Whether another daemon of this data centre is live.
   bool HasNeighbours(TimePoint aNow) const;
 
--- a/src/sapphirelane/relay/extra_budget.cpp
+++ b/src/sapphirelane/relay/extra_budget.cpp
@@ -84,7 +84,7 @@
   decision.known = Known(aNow);
   decision.spent = window.Retries(aNow);
   decision.budget =
-    (window.Requests(aNow) * m_options.share + m_options.slack * m_fleetShare) *
+    (window.Requests(aNow) * m_options.share + m_options.slack) * m_fleetShare *
     m_options.margin;
   Unreported& unreported = UnreportedOf(service, aNow, aRandom);
   const auto own = static_cast<double>(unreported.spent.size());
--- a/src/sapphirelane/relay/load_exchange.cpp
+++ b/src/sapphirelane/relay/load_exchange.cpp
@@ -110,7 +110,7 @@
     m_counters.Tick(m_load, m_sequence, aNow);
   }
   m_retries.SetReportedUntil(m_large ? m_counters.SumsHeardAt()
-                                     : TimePoint::max());
+                                     : m_peers.HeardAt());
 }
 
 std::vector<FleetEvidence>
--- a/src/sapphirelane/relay/retry_budget_test.cpp
+++ b/src/sapphirelane/relay/retry_budget_test.cpp
@@ -21,8 +21,9 @@
   int daemons = 40;
   int centres = 3;
   double slack = 60;
-  double load = 41;      ///< Requests a second.
-  double failing = 0.85; ///< Share of the attempts.
+  double load = 41;          ///< Requests a second.
+  double failing = 0.85;     ///< Share of the attempts.
+  Duration before = kWindow; ///< Time under load before attempts fail.
   FleetFaults faults;
   std::uint64_t seed = 1;
 };
@@ -44,7 +45,7 @@
   {
     m_world.Advance(std::chrono::seconds(8));
     m_world.SetFaults(aOptions.faults);
-    Run(kWindow, 0);
+    Run(aOptions.before, 0);
   }
 
   /// Plays a time in which a share of the attempts fails.
@@ -65,6 +66,31 @@
     }
   }
 
+  /// Stops the work of daemons for a time; what runs there waits.
+  void Freeze(int aCount, Duration aTime)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      m_world.SetFrozen(i, true);
+      m_live[static_cast<std::size_t>(i)] = false;
+    }
+    Run(aTime);
+    for (int i = 0; i < aCount; ++i) {
+      m_world.SetFrozen(i, false);
+      m_live[static_cast<std::size_t>(i)] = true;
+    }
+  }
+
+  /// Cuts the first daemons off from the others, or joins them again.
+  void SetCut(int aCount, bool aCut)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      for (int j = aCount; j < m_world.Size(); ++j) {
+        m_world.SetLinkCut(i, j, aCut);
+        m_world.SetLinkCut(j, i, aCut);
+      }
+    }
+  }
+
   /// Ends the first daemons of each data centre in the order in which they add
   /// up its reports.
   void KillFirst(std::size_t aOfEachCentre)
@@ -260,6 +286,47 @@
   CHECK(WorstShareOf(service, "all 40 restart") <= 1);
 }
 
+TEST_CASE("RetryBudget, daemons freeze and wake while attempts fail, fleet "
+          "keeps the budget",
+          "[large][retries][restarts]")
+{
+  for (int daemons : { 40, 110 }) {
+    FailingServiceOptions options =
+      OptionsOf(daemons, daemons == 40 ? 60 : 172, daemons == 40 ? 41 : 164);
+    FailingService service(options);
+    service.Run(std::chrono::seconds(1));
+    service.Freeze(daemons / 2, std::chrono::seconds(3));
+    service.Run(std::chrono::seconds(12));
+    CHECK(WorstShareOf(service, "half freeze") <= 1);
+  }
+}
+
+/// Guards against the two sides of a cut that each spend the whole budget.
+double
+WorstShareOfCut(const FailingServiceOptions& aOptions)
+{
+  FailingService service(aOptions);
+  service.SetCut(aOptions.daemons / 3, true);
+  service.Run(std::chrono::seconds(6));
+  service.SetCut(aOptions.daemons / 3, false);
+  service.Run(std::chrono::seconds(12));
+  return WorstShareOf(service, "cut in two");
+}
+
+TEST_CASE("RetryBudget, fleet is cut in two and joined while attempts fail, "
+          "keeps the budget",
+          "[large][retries][restarts]")
+{
+  CHECK(WorstShareOfCut(OptionsOf(40, 60, 41)) <= 1);
+}
+
+TEST_CASE("RetryBudget, large fleet is cut in two and joined while attempts "
+          "fail, keeps the budget",
+          "[large][retries][cut]")
+{
+  CHECK(WorstShareOfCut(OptionsOf(110, 172, 164)) <= 1);
+}
+
 /// Guards against what all daemons send while the retry of one is not known to
 /// the others yet.
 TEST_CASE("RetryBudget, all attempts fail from one moment on, fleets of three "
@@ -289,8 +356,9 @@
 {
   FailingServiceOptions options = OptionsOf(444, 630, 1500, 5);
   options.failing = 1;
+  options.before = std::chrono::seconds(2);
   FailingService service(options);
-  service.Run(std::chrono::seconds(12));
+  service.Run(std::chrono::seconds(4));
   CHECK(WorstShareOf(service, "444 daemons, all fail") <= 1);
 }
 
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -39,8 +39,8 @@
 
 /// Time after which all daemons know what one of them has reported; longer in
 /// a large fleet, where reports are added up on the way.
-constexpr Milliseconds kReportTime{ 150 };
-constexpr Milliseconds kReportTimeLargeFleet{ 600 };
+constexpr Milliseconds kReportTime{ 500 };
+constexpr Milliseconds kReportTimeLargeFleet{ 1000 };
 
 /// Fleets with more daemons than this count as large, see LoadExchange.
 constexpr std::size_t kLargeFleetDaemons = 48;
@@ -450,7 +450,8 @@
     m_churn = m_peers.Upset(kChurnWindow, aNow);
     m_load.UpdateMembership(aCounted > kLargeFleetDaemons, aNow);
     m_rank = { m_peers.CountedOrder(aNow), aCounted };
-    m_retries.SetShare(m_quota.Share());
+    m_retries.SetShare(static_cast<double>(aLive) /
+                       static_cast<double>(std::max(aLive, aCounted)));
     m_retries.SetFleet(aCounted,
                        aCounted > kLargeFleetDaemons ? kReportTimeLargeFleet
                                                      : kReportTime);
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -28,6 +28,7 @@
         self.ready_port = base + 1
         self.misses = 0
         self.child = None
+        self.seeds = []
         self.stopping = False
         self.harms = []        # (from, to) in which it is not in touch
         self.terms = []        # times of SIGTERM
@@ -35,6 +36,7 @@
         self.settings = world.folder / f"{self.name}.yaml"
 
     def write_settings(self, seeds):
+        self.seeds = seeds
         terms = {"grace_s": GRACE_S, "retry_budget_ratio": 0.2,
                  "budget_slack": 56, "budget_window_s": 10}
         self.settings.write_text(
@@ -46,6 +48,7 @@
             f"  address: 127.0.0.1:{self.store.port}\n"
             f"  terms: '{json.dumps(terms)}'\n  timeout_ms: 600\n"
             f"seeds: {json.dumps(seeds)}\nseeds_use_peer_port: true\n"
+            f"new_fleet: {json.dumps(self.child is None)}\n"
             "fleet_secret: secret-of-the-soak-fleet\n"
             f"operator_digest: \"{'0' * 64}\"\n"
             "limits:\n  connect_timeout_ms: 250\n  proven_ms: 6000\n"
@@ -54,6 +57,7 @@
             "  pool: 8\n  ahead: 4\n")
 
     def start(self):
+        self.write_settings(self.seeds)
         log = open(self.world.folder / f"{self.name}.log", "a")
         self.child = subprocess.Popen(
             [self.world.program, "--settings", self.settings],
@@ -97,6 +101,7 @@
             self.faults.append(f"planned stop ended with {child.returncode}")
         await self.reap(child)
         self.child = None
+        self.seeds = []
         self.stopping = False
         if again:
             await asyncio.sleep(RESTART_S)
