--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -77,7 +77,7 @@
   PlatformSettings platform;
   std::vector<std::string> seeds;   ///< Peer addresses, "ip:port".
   bool seeds_use_peer_port = false; ///< Only the seeds' IP numbers count.
-  bool new_fleet = false; ///< No daemon of the fleet has run before.
+  bool new_fleet = false;           ///< No daemon of the fleet has run before.
   std::string fleet_secret;
   std::string operator_digest; ///< Digest of the operators' credential.
   std::string static_fleet;    ///< File used in place of the platform.
--- a/src/sapphirelane/relay/load_exchange_test.cpp
+++ b/src/sapphirelane/relay/load_exchange_test.cpp
@@ -61,6 +61,23 @@
     return update;
   }
 
+  /// A host that comes before this daemon's in the order of its data centre.
+  static std::string LowerRankedHost()
+  {
+    std::string host = "x";
+    while (ShortHash(host) >= ShortHash("self")) {
+      host += "x";
+    }
+    return host;
+  }
+
+  void ReceivePresence(const std::string& aHost, NodeId aId, const char* aIn)
+  {
+    PresenceNews update;
+    update.self = { aId, aHost, aIn, aHost + ":1" };
+    m_peers.OnPresence(update, m_now);
+  }
+
   /// @return Number of requests of an account that are admitted at once.
   int AvailableTokens(const char* aAccount)
   {
@@ -124,20 +141,11 @@
                  "totals, repeats nothing that another one has reported")
 {
   // A daemon of lower rank in this data centre, and one in another.
-  std::string lowerRanked = "x";
-  while (ShortHash(lowerRanked) >= ShortHash("self")) {
-    lowerRanked += "x";
-  }
-  const auto receivePresence =
-    [&](const std::string& aHost, NodeId aId, const char* aIn) {
-      PresenceNews update;
-      update.self = { aId, aHost, aIn, aHost + ":1" };
-      m_peers.OnPresence(update, m_now);
-    };
+  const std::string lowerRanked = LowerRankedHost();
   m_exchange.UpdateMembership(true, m_now);
   for (std::uint32_t step = 1; step <= 20; ++step) {
-    receivePresence(lowerRanked, 7, "a");
-    receivePresence("far", 8, "b");
+    ReceivePresence(lowerRanked, 7, "a");
+    ReceivePresence("far", 8, "b");
     m_exchange.OnUpdate(SpentUpdate(step, "a", 10 * step), m_now);
     m_exchange.OnUpdate(Sums(step, "a", 10 * step), m_now);
     m_exchange.Tick(m_now);
@@ -145,7 +153,7 @@
   }
   CHECK(m_env.sent.empty());
   m_now += Milliseconds(1700); // The lower-ranked daemon has failed.
-  receivePresence("far", 8, "b");
+  ReceivePresence("far", 8, "b");
   m_exchange.Tick(m_now);
   m_exchange.RecordSpent("a", 3);
   m_exchange.Tick(m_now += Milliseconds(200)); // Adds own counters.
@@ -155,10 +163,10 @@
   CHECK(m_env.sent[0].accounts[0].spent == 3);
   const NodeId first = m_env.sent[0].origin;
   // The lower-ranked daemon comes back and fails again.
-  receivePresence(lowerRanked, 9, "a");
+  ReceivePresence(lowerRanked, 9, "a");
   m_exchange.Tick(m_now);
   m_now += Milliseconds(1700);
-  receivePresence("far", 8, "b");
+  ReceivePresence("far", 8, "b");
   m_exchange.Tick(m_now);
   m_exchange.RecordSpent("a", 2);
   m_exchange.Tick(m_now += Milliseconds(200)); // Adds own counters.
@@ -174,25 +182,16 @@
   "LoadExchange, daemon that adds up fails before its last sums, "
   "the next one sends what they lack")
 {
-  std::string lowerRanked = "x";
-  while (ShortHash(lowerRanked) >= ShortHash("self")) {
-    lowerRanked += "x";
-  }
-  const auto receivePresence =
-    [&](const std::string& aHost, NodeId aId, const char* aIn) {
-      PresenceNews update;
-      update.self = { aId, aHost, aIn, aHost + ":1" };
-      m_peers.OnPresence(update, m_now);
-    };
-  receivePresence(lowerRanked, 7, "a");
-  receivePresence("far", 8, "b");
+  const std::string lowerRanked = LowerRankedHost();
+  ReceivePresence(lowerRanked, 7, "a");
+  ReceivePresence("far", 8, "b");
   m_exchange.UpdateMembership(true, m_now);
   m_exchange.OnUpdate(SpentUpdate(1, "a", 10), m_now);
   m_exchange.OnUpdate(Sums(1, "a", 10), m_now);
   m_exchange.OnUpdate(SpentUpdate(2, "a", 35), m_now);
   m_exchange.Tick(m_now += Milliseconds(100));
   m_now += Milliseconds(1700); // The lower-ranked daemon has failed.
-  receivePresence("far", 8, "b");
+  ReceivePresence("far", 8, "b");
   m_exchange.Tick(m_now);
   REQUIRE(m_env.sent.size() == 1);
   CHECK(m_env.sent[0].accounts[0].spent == 25);
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -37,8 +37,9 @@
 constexpr std::size_t kGossipTargets = 5;
 constexpr Milliseconds kDirectPresenceTime{ 3000 };
 
-/// Time after which all daemons know what one of them has reported; longer in
-/// a large fleet, where reports are added up on the way.
+/// Time after which all daemons know what one of them has reported, or notice
+/// that they hear nothing; longer in a large fleet, where reports are added up
+/// on the way.
 constexpr Milliseconds kReportTime{ 500 };
 constexpr Milliseconds kReportTimeLargeFleet{ 1000 };
 
