Bound what a daemon tells the one that newly adds up, and fix a time before the epoch

Found by reading the diff: a message that tells what the sums have held listed every account that the daemon had ever reported, thousands in a large fleet, more than fits into a datagram; accounts that the sums hold all of are left out now, and 500 is the most. Their first report to the new daemon counts from its own value, as before.

A large fleet's daemon that had heard no sums yet subtracted from the earliest time that the clock has, which overflows; it then took all that it had spent for known to others. The time is now the epoch, so that nothing counts as known.

--- a/src/sapphirelane/relay/counter_exchange.cpp
+++ b/src/sapphirelane/relay/counter_exchange.cpp
@@ -36,6 +36,9 @@
 /// differ for a moment, and what they count must not count twice.
 constexpr Milliseconds kOriginTimeout{ 700 };
 
+/// Accounts in a message that tells what the sums have held.
+constexpr std::size_t kMaxAccountsSummed = 500;
+
 /// Time without any report after which a daemon that takes over as the second
 /// counts anew, as reports went to others meanwhile.
 constexpr Milliseconds kMaxReportGap{ 1000 };
@@ -121,7 +124,8 @@
 }
 
 /// Sends to daemons that get this daemon's reports for the first time, so that
-/// they count from what the sums have held.
+/// they count from what the sums have held. Accounts are left out that the sums
+/// hold all of: there may be thousands.
 void
 CounterExchange::SendSummed(const std::vector<MemberInfo>& aTargets,
                             std::uint32_t& aSequence)
@@ -147,7 +151,10 @@
     const auto value = static_cast<std::uint32_t>(
       originChanged ? part.summed_before : part.Summed());
     if (key.first == Field::Spent) {
-      summed.accounts.push_back({ key.second, value });
+      if (part.reported != static_cast<std::int32_t>(value) &&
+          summed.accounts.size() < kMaxAccountsSummed) {
+        summed.accounts.push_back({ key.second, value });
+      }
     } else {
       services[key.second].service = key.second;
       FieldOf(services[key.second], key.first) = value;
@@ -308,7 +315,7 @@
 CounterExchange::SumsHeardAt() const
 {
   auto found = m_centres.find(m_centre);
-  return found == m_centres.end() ? TimePoint::min() : found->second.heard_at;
+  return found == m_centres.end() ? TimePoint{} : found->second.heard_at;
 }
 
 /// Whether sums of an origin are to be applied. Only one origin counts at a
--- a/src/sapphirelane/relay/counter_exchange.h
+++ b/src/sapphirelane/relay/counter_exchange.h
@@ -61,7 +61,8 @@
   /// @brief Applies the sums of a data centre and forwards them if asked to.
   void OnSums(const WorkNews& aSums, TimePoint aNow);
 
-  /// @brief When this daemon last had sums of its own data centre.
+  /// @brief When this daemon last had sums of its own data centre; the clock's
+  /// epoch if never.
   TimePoint SumsHeardAt() const;
 
 private:
