Log and count request bodies that an endpoint got in part or changed

An attempt now compares what it sent to what the caller sent: a line of part 'body' and request_bodies_total{sent=partial|changed}, also for requests that have been refused or abandoned meanwhile. A sound body costs no line.

--- a/include/sapphirelane/proxy/exchange.h
+++ b/include/sapphirelane/proxy/exchange.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_PROXY_EXCHANGE_H
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -37,6 +38,13 @@
   Broken ///< The body ended early.
 };
 
+/// @brief How much of a request body has arrived from the caller.
+struct BodyProgress
+{
+  std::uint64_t bytes = 0;
+  bool complete = false; ///< All of it has arrived.
+};
+
 /// @brief One request and its response, shared by the threads that handle it.
 ///
 /// Both bodies stream through bounded buffers with backpressure: a side that
@@ -84,6 +92,9 @@
                             std::size_t aMaxBytes,
                             std::size_t& aRead);
 
+  /// @brief How much of the request body the caller has sent, read or not.
+  BodyProgress RequestProgress();
+
   /// @brief Makes the request body readable from its start again.
   /// @return False if more of it was read than the buffer keeps.
   bool RewindRequest();
@@ -131,6 +142,7 @@
   std::function<void()> m_upstreamWakeup;
 
   std::string m_requestBody;
+  std::uint64_t m_receivedBytes = 0; ///< Of the request body.
   std::string m_replay; ///< Body bytes read so far, while they fit the buffer.
   bool m_replayable = true; ///< m_replay holds all bytes read.
   bool m_requestComplete = false;
--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -40,6 +40,14 @@
   TimePoint give_up{};     ///< The attempt is aborted at this time.
 };
 
+/// @brief How much of a request body an attempt has sent.
+enum class SentBody
+{
+  Whole,   ///< All of it, or the request has none, or nothing was sent.
+  Partial, ///< A part, without the end.
+  Changed  ///< An end, but not after all bytes that the caller sent.
+};
+
 /// @brief Progress or end of an attempt.
 struct AttemptEvent
 {
@@ -56,6 +64,7 @@
   bool whole = false;           ///< With End: the response is complete.
   bool sent = true;             ///< With End: a byte may have been sent.
   bool caller_fault = false; ///< With End: the caller aborted the request body.
+  SentBody sent_body = SentBody::Whole; ///< With End.
   bool kept = false; ///< With End: its connection went back to the pool.
   /// With End: the endpoint's process has ended while it had the request.
   bool endpoint_ended = false;
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -105,6 +105,7 @@
 
   void OnAttempt(const AttemptEvent& aEvent, TimePoint aNow) override
   {
+    CountSentBody(aEvent);
     auto found = m_requestsByAttempt.find(aEvent.id);
     if (found == m_requestsByAttempt.end()) {
       return;
@@ -182,6 +183,17 @@
   }
 
 private:
+  /// Counts bodies that did not reach an endpoint whole, also those of requests
+  /// that have been refused or abandoned since.
+  void CountSentBody(const AttemptEvent& aEvent)
+  {
+    if (aEvent.sent_body != SentBody::Whole) {
+      const bool partial = aEvent.sent_body == SentBody::Partial;
+      m_metrics.Count("request_bodies_total",
+                      { { "sent", partial ? "partial" : "changed" } });
+    }
+  }
+
   /// Whether the first configuration may still arrive soon after the start.
   bool AwaitsConfig(TimePoint aNow)
   {
--- a/src/sapphirelane/proxy/exchange.cpp
+++ b/src/sapphirelane/proxy/exchange.cpp
@@ -68,6 +68,7 @@
 {
   Lock lock(m_mutex);
   if (m_discardRequestBody) {
+    m_receivedBytes += aSize;
     return aSize;
   }
   const std::size_t freeBytes =
@@ -78,6 +79,7 @@
     return 0;
   }
   m_requestBody.append(aBytes, size);
+  m_receivedBytes += size;
   WakeUpstream();
   return size;
 }
@@ -158,6 +160,13 @@
   return m_requestAborted ? StreamResult::Broken : StreamResult::Wait;
 }
 
+BodyProgress
+Exchange::RequestProgress()
+{
+  Lock lock(m_mutex);
+  return { m_receivedBytes, m_requestComplete };
+}
+
 void
 Exchange::KeepForReplay(const char* aBytes, std::size_t aSize)
 {
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 
 #include "sapphirelane/base/hash.h"
+#include "sapphirelane/base/log.h"
 #include "sapphirelane/claims/claim.h"
 #include "sapphirelane/proxy/head_scan.h"
 
@@ -269,12 +270,14 @@
           absl::StrAppend(&m_output, absl::Hex(size), "\r\n");
         }
         m_output.append(block, 0, size);
+        m_sentBodyBytes += size;
         if (!m_attempt.length) {
           m_output += "\r\n";
         }
         break;
       case StreamResult::End:
         m_requestComplete = true;
+        m_sentBodyEnd = true;
         if (!m_attempt.length) {
           m_output += "0\r\n\r\n";
         }
@@ -601,6 +604,7 @@
   event.whole = aComplete;
   event.sent = m_maybeSent;
   event.caller_fault = m_callerAborted;
+  event.sent_body = CheckSentBody(aError);
   event.stale = !aComplete && m_connection != nullptr && m_connection->reused &&
                 !m_receivedAny;
   event.endpoint_ended = m_endpointEnded;
@@ -617,6 +621,32 @@
   }
 }
 
+SentBody
+UpstreamTransfer::CheckSentBody(const std::string& aError) const
+{
+  if (!m_attempt.has_body || !m_maybeSent) {
+    return SentBody::Whole;
+  }
+  const BodyProgress received = m_attempt.exchange->RequestProgress();
+  const bool same = received.complete && m_sentBodyBytes == received.bytes;
+  if (m_sentBodyEnd && same) {
+    return SentBody::Whole;
+  }
+  LogLine("body",
+          m_sentBodyEnd ? "A body was changed on its way to an endpoint."
+                        : "A body was sent to an endpoint in part.",
+          LogFields()
+            .Add("request", m_attempt.echo)
+            .Add("attempt_id", m_attempt.id)
+            .Add("endpoint", m_attempt.endpoint)
+            .Add("framing", m_attempt.length ? "length" : "chunks")
+            .Add("received", received.bytes)
+            .Add("received_whole", received.complete ? "yes" : "no")
+            .Add("sent", m_sentBodyBytes)
+            .Add("error", aError));
+  return m_sentBodyEnd ? SentBody::Changed : SentBody::Partial;
+}
+
 /// Keeps the endpoint's connections from being reused for a while: it has sent
 /// bytes that are no response.
 void
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -79,6 +79,9 @@
 
   /// Ends the attempt and reports its result; later calls have no effect.
   void Finish(bool aComplete, const std::string& aError);
+  /// Compares the body that was sent to what the caller has sent, and logs a
+  /// difference.
+  SentBody CheckSentBody(const std::string& aError) const;
   void RecordStrayBytes();
   bool ReleaseConnection();
   void NotifyDone();
@@ -90,8 +93,10 @@
   bool m_connecting = false;
   std::string m_output;
   bool m_writing = false;
-  bool m_requestComplete = false; ///< All of it is written or in m_output.
-  bool m_maybeSent = false;       ///< A byte may have been sent.
+  bool m_requestComplete = false;    ///< All of it is written or in m_output.
+  std::uint64_t m_sentBodyBytes = 0; ///< Those in m_output included.
+  bool m_sentBodyEnd = false;        ///< So is the end of the body.
+  bool m_maybeSent = false;          ///< A byte may have been sent.
   bool m_callerAborted = false;
   std::optional<ResponseParser> m_parser;
   bool m_reading = false;
