--- a/cmake/sapphirelane.cmake
+++ b/cmake/sapphirelane.cmake
@@ -26,7 +26,7 @@
       sapphirelane_${name} Catch2::Catch2 rapidcheck)
     set_property(TARGET sapphirelane_${name}_test PROPERTY
       LINK_LIBRARY_OVERRIDE ${SAPPHIRELANE_PLUGIN_MODULES})
-    add_test(NAME ${name} COMMAND sapphirelane_${name}_test ~[schedules]~[large])
+    add_test(NAME ${name} COMMAND sapphirelane_${name}_test ~[schedules]~[large]~[body])
     set_tests_properties(${name} PROPERTIES ENVIRONMENT
       "RC_PARAMS=seed=20261204;GOLDEN_DIR=${PROJECT_SOURCE_DIR}/tests/golden")
   endif()
--- a/src/sapphirelane/proxy/exchange_test.cpp
+++ b/src/sapphirelane/proxy/exchange_test.cpp
@@ -101,6 +101,22 @@
   CHECK_FALSE(m_exchange.RewindRequest());
 }
 
+/// Guards against a body that is cut by a refusal and looks whole.
+TEST_CASE_METHOD(ExchangeFixture,
+                 "Exchange, answered before the request body is read, never "
+                 "reads it as complete",
+                 "[body]")
+{
+  m_exchange.CallerWrite("half", 4);
+  StreamResult result = StreamResult::Wait;
+  CHECK(UpstreamRead(result) == "half");
+  m_exchange.CallerWrite("rest", 4);
+  m_exchange.AnswerWhole({ 504, {}, std::nullopt }, "");
+  m_exchange.CallerFinish();
+  CHECK(UpstreamRead(result).empty());
+  CHECK(result == StreamResult::Broken);
+}
+
 TEST_CASE_METHOD(ExchangeFixture, "Exchange, second response, keeps the first")
 {
   CHECK(m_exchange.AnswerWhole({ 503, {}, std::nullopt }, "first"));
