Let each attempt read a request body on its own, and end it for all at the answer

The caller had sent all of a small chunked body and given up.

Cause: Exchange kept one position in the request body for the dispatcher, which refuses, and for all attempts, which read. A refusal (AnswerWhole) dropped the bytes that waited and left the body marked as complete, so an attempt that had not read them was told End and wrote the last chunk; its cancellation follows later, on another thread.

Change: RequestBody, without locks or input and output, gives each reader a position of its own and 'complete', 'broken off' and 'not yet' for each; Withdraw() breaks it off for all of them. Exchange withdraws it with every answer that ends, and an attempt that finds its request answered sends nothing more, nor begins to send a request without a body. The same held for answers: an endpoint's answer could follow a refusal that the session had given (413, 400), as Exchange took its bytes all the same and the dispatcher did not ask whether Answer() had taken the head.

The test of RewindRequest() is now one of a second attempt, with the same checks; the check that a retry rewinds is one that it reads the same exchange, as every attempt now begins at the start.

--- a/include/sapphirelane/proxy/exchange.h
+++ b/include/sapphirelane/proxy/exchange.h
@@ -4,12 +4,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 
 #include "sapphirelane/proxy/http.h"
+#include "sapphirelane/proxy/request_body.h"
 
 namespace sapphirelane {
 
@@ -29,22 +31,6 @@
   virtual bool IsClosed() const = 0;
 };
 
-/// @brief Result of reading from a body stream.
-enum class StreamResult
-{
-  Some,  ///< Bytes were read.
-  Wait,  ///< No bytes yet; the reader is woken later.
-  End,   ///< The body is complete.
-  Broken ///< The body ended early.
-};
-
-/// @brief How much of a request body has arrived from the caller.
-struct BodyProgress
-{
-  std::uint64_t bytes = 0;
-  bool complete = false; ///< All of it has arrived.
-};
-
 /// @brief One request and its response, shared by the threads that handle it.
 ///
 /// Both bodies stream through bounded buffers with backpressure: a side that
@@ -52,6 +38,8 @@
 class Exchange
 {
 public:
+  using AttemptId = RequestBody::ReaderId;
+
   Exchange(RequestHead aHead, std::size_t aBufferBytes);
 
   const RequestHead& Head() const { return m_head; }
@@ -87,31 +75,43 @@
 
   // Called by the upstream's thread.
 
-  /// @brief Reads bytes of the request body.
-  StreamResult UpstreamRead(char* aBytes,
+  /// @brief Adds an attempt, which reads the request body from its start.
+  /// @param aWake Called when the attempt may go on.
+  /// @return Empty if the start of the body is no longer held, or if the
+  /// request is answered.
+  std::optional<AttemptId> AddAttempt(std::function<void()> aWake);
+
+  /// @brief Removes an attempt; its callback is not called any more.
+  void RemoveAttempt(AttemptId aAttempt);
+
+  /// @brief Reads bytes of the request body. Once the request is answered, the
+  /// body is broken off for all attempts.
+  StreamResult UpstreamRead(AttemptId aAttempt,
+                            char* aBytes,
                             std::size_t aMaxBytes,
                             std::size_t& aRead);
 
+  /// @brief Ends the reading of the request body, but not the attempt.
+  void CloseRequestBody(AttemptId aAttempt);
+
   /// @brief How much of the request body the caller has sent, read or not.
   BodyProgress RequestProgress();
 
-  /// @brief Makes the request body readable from its start again.
-  /// @return False if more of it was read than the buffer keeps.
-  bool RewindRequest();
+  /// @brief Whether the response is complete or broken off, so that no attempt
+  /// is needed any more.
+  bool IsAnswered();
 
-  /// @brief Buffers bytes of the response body.
+  /// @brief Buffers bytes of the response body. They are dropped if the caller
+  /// is gone, or if AnswerWhole gave another response.
   /// @return False if they do not fit yet; the upstream side is woken later.
   bool UpstreamWrite(const char* aBytes, std::size_t aSize);
 
   /// @brief Marks the response body as complete.
   void UpstreamFinish();
 
-  /// @brief Marks the response body as aborted.
+  /// @brief Marks the response body as aborted, unless it is complete.
   void UpstreamBreak();
 
-  /// @brief Sets the callback that wakes the upstream side; empty to detach.
-  void SetUpstreamWake(std::function<void()> aWakeup);
-
   // Called by the dispatch thread.
 
   /// @brief Sets the response head and wakes the caller.
@@ -129,8 +129,9 @@
   void WakeCaller();
   void WakeUpstream();
   void SuspendCaller();
-  void DiscardRequestBody();
-  void KeepForReplay(const char* aBytes, std::size_t aSize);
+
+  /// Ends the request for all attempts, as its response has ended.
+  void WithdrawRequest();
 
   const RequestHead m_head;
   const std::size_t m_bufferBytes;
@@ -139,21 +140,15 @@
   std::unique_ptr<CallerPort> m_connection;
   bool m_callerSuspended = false;
   bool m_callerDisconnected = false;
-  std::function<void()> m_upstreamWakeup;
+  std::map<AttemptId, std::function<void()>> m_upstreamWakeups;
 
-  std::string m_requestBody;
-  std::uint64_t m_receivedBytes = 0; ///< Of the request body.
-  std::string m_replay; ///< Body bytes read so far, while they fit the buffer.
-  bool m_replayable = true; ///< m_replay holds all bytes read.
-  bool m_requestComplete = false;
-  bool m_requestAborted = false;
-  bool m_discardRequestBody = false; ///< Discard further body bytes.
+  RequestBody m_requestBody;
 
   std::optional<ResponseHead> m_responseHead;
   std::string m_responseBody;
   bool m_responseComplete = false;
   bool m_responseAborted = false;
-  bool m_responseRead = false;
+  bool m_answeredWhole = false; ///< By AnswerWhole; no attempt writes to it.
 };
 
 using ExchangePtr = std::shared_ptr<Exchange>;
--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -25,9 +25,8 @@
   std::string target;
   Headers headers;
   bool has_body = false;
-  std::optional<std::uint64_t> length; ///< Of the body; chunked if unset.
-  bool rewind = false;                 ///< Send the body again from its start.
-  bool new_connection = false;         ///< Do not use a pooled connection.
+  std::optional<std::uint64_t> length;   ///< Of the body; chunked if unset.
+  bool new_connection = false;           ///< Do not use a pooled connection.
   Duration unused_for = Duration::max(); ///< Limit for a pooled connection.
   bool hold = false; ///< Report the head only with the complete response.
   std::string deadline_header; ///< Carries the time left; empty for none.
--- a/src/sapphirelane/proxy/attempt_order.cpp
+++ b/src/sapphirelane/proxy/attempt_order.cpp
@@ -76,7 +76,6 @@
     order.new_connection = aLimits.proven == Milliseconds::zero();
     order.unused_for = aLimits.proven;
   }
-  order.rewind = aRequest.attempts_made > 1;
   // The token covers the whole request; later attempts need no new one.
   const bool first = aRequest.attempts_made == 1 && !aRequest.route.open;
   order.send_before = aNow + kSendTimeout;
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -900,17 +900,26 @@
                    const AttemptEvent& aEvent,
                    TimePoint aNow)
   {
-    m_crashes.OnServed(aRequest, aNow);
-    aRequest.stage = RequestStage::Responding;
-    aRequest.response_status = aEvent.head.status;
-    const std::string* type = FindHeader(aEvent.head.headers, "content-type");
-    aRequest.response_content_type = type == nullptr ? "" : *type;
     ResponseHead head = aEvent.head;
     head.headers = AnswerHeaders(head.headers, m_options.dialect);
     if (!m_options.dialect.caller_names_requests) {
       head.headers.emplace_back(m_options.dialect.request_id,
                                 std::to_string(aId));
     }
+    if (!aRequest.exchange->Answer(head)) {
+      RefuseAdmitted(aId,
+                     { 502,
+                       Outcome::Unknown,
+                       "answered-before",
+                       "the body was refused before the upstream answered" },
+                     aNow);
+      return;
+    }
+    m_crashes.OnServed(aRequest, aNow);
+    aRequest.stage = RequestStage::Responding;
+    aRequest.response_status = aEvent.head.status;
+    const std::string* type = FindHeader(aEvent.head.headers, "content-type");
+    aRequest.response_content_type = type == nullptr ? "" : *type;
     for (const Attempt& attempt : aRequest.attempts) {
       if (attempt.id != aEvent.id) {
         m_upstreams.Cancel(attempt.id);
@@ -929,7 +938,6 @@
     m_metrics.Observe("time_to_head_seconds",
                       { { "service", aRequest.service } },
                       aNow - aRequest.exchange->Head().arrived);
-    aRequest.exchange->Answer(head);
     m_upstreams.Accept(aEvent.id);
   }
 
--- a/src/sapphirelane/proxy/exchange.cpp
+++ b/src/sapphirelane/proxy/exchange.cpp
@@ -23,6 +23,7 @@
 Exchange::Exchange(RequestHead aHead, std::size_t aBufferBytes)
   : m_head(std::move(aHead))
   , m_bufferBytes(aBufferBytes)
+  , m_requestBody(aBufferBytes)
 {
 }
 
@@ -51,35 +52,28 @@
 void
 Exchange::WakeUpstream()
 {
-  if (m_upstreamWakeup) {
-    m_upstreamWakeup();
+  for (const auto& [attempt, wake] : m_upstreamWakeups) {
+    wake();
   }
 }
 
 void
-Exchange::DiscardRequestBody()
+Exchange::WithdrawRequest()
 {
-  m_discardRequestBody = true;
-  m_requestBody.clear();
+  m_requestBody.Withdraw();
+  WakeCaller();
+  WakeUpstream();
 }
 
 std::size_t
 Exchange::CallerWrite(const char* aBytes, std::size_t aSize)
 {
   Lock lock(m_mutex);
-  if (m_discardRequestBody) {
-    m_receivedBytes += aSize;
-    return aSize;
-  }
-  const std::size_t freeBytes =
-    m_bufferBytes - std::min(m_bufferBytes, m_requestBody.size());
-  const std::size_t size = std::min(freeBytes, aSize);
+  const std::size_t size = m_requestBody.Write(aBytes, aSize);
   if (size == 0 && aSize > 0) {
     SuspendCaller();
     return 0;
   }
-  m_requestBody.append(aBytes, size);
-  m_receivedBytes += size;
   WakeUpstream();
   return size;
 }
@@ -88,7 +82,7 @@
 Exchange::CallerFinish()
 {
   Lock lock(m_mutex);
-  m_requestComplete = true;
+  m_requestBody.Finish();
   WakeUpstream();
 }
 
@@ -96,7 +90,7 @@
 Exchange::CallerBreak()
 {
   Lock lock(m_mutex);
-  m_requestAborted = true;
+  m_requestBody.Break();
   WakeUpstream();
 }
 
@@ -123,7 +117,6 @@
     return StreamResult::Broken;
   }
   if (m_responseComplete) {
-    m_responseRead = true;
     return StreamResult::End;
   }
   SuspendCaller();
@@ -135,66 +128,74 @@
 {
   Lock lock(m_mutex);
   m_callerDisconnected = true;
-  if (!m_requestComplete) {
-    m_requestAborted = true;
-  }
+  m_requestBody.Break();
   m_connection.reset();
   WakeUpstream();
   return m_responseHead.has_value() && m_responseComplete &&
          m_responseBody.empty();
 }
 
-StreamResult
-Exchange::UpstreamRead(char* aBytes, std::size_t aMaxBytes, std::size_t& aRead)
+std::optional<Exchange::AttemptId>
+Exchange::AddAttempt(std::function<void()> aWake)
 {
   Lock lock(m_mutex);
-  aRead = PopBytes(m_requestBody, aBytes, aMaxBytes);
-  if (aRead > 0) {
-    KeepForReplay(aBytes, aRead);
-    WakeCaller();
-    return StreamResult::Some;
-  }
-  if (m_requestComplete) {
-    return StreamResult::End;
+  const auto attempt = m_requestBody.Open();
+  if (attempt) {
+    m_upstreamWakeups[*attempt] = std::move(aWake);
   }
-  return m_requestAborted ? StreamResult::Broken : StreamResult::Wait;
+  return attempt;
 }
 
-BodyProgress
-Exchange::RequestProgress()
+void
+Exchange::RemoveAttempt(AttemptId aAttempt)
 {
+  CloseRequestBody(aAttempt);
   Lock lock(m_mutex);
-  return { m_receivedBytes, m_requestComplete };
+  m_upstreamWakeups.erase(aAttempt);
 }
 
 void
-Exchange::KeepForReplay(const char* aBytes, std::size_t aSize)
+Exchange::CloseRequestBody(AttemptId aAttempt)
+{
+  Lock lock(m_mutex);
+  m_requestBody.Close(aAttempt);
+  WakeCaller(); // The attempt may have held up the body.
+}
+
+StreamResult
+Exchange::UpstreamRead(AttemptId aAttempt,
+                       char* aBytes,
+                       std::size_t aMaxBytes,
+                       std::size_t& aRead)
 {
-  m_replayable = m_replayable && m_replay.size() + aSize <= m_bufferBytes;
-  if (m_replayable) {
-    m_replay.append(aBytes, aSize);
-  } else {
-    m_replay.clear();
+  Lock lock(m_mutex);
+  const StreamResult result =
+    m_requestBody.Read(aAttempt, aBytes, aMaxBytes, aRead);
+  if (result == StreamResult::Some) {
+    WakeCaller();
   }
+  return result;
+}
+
+BodyProgress
+Exchange::RequestProgress()
+{
+  Lock lock(m_mutex);
+  return m_requestBody.Progress();
 }
 
 bool
-Exchange::RewindRequest()
+Exchange::IsAnswered()
 {
   Lock lock(m_mutex);
-  if (!m_replayable) {
-    return false;
-  }
-  m_requestBody.insert(0, m_replay);
-  m_replay.clear();
-  return true;
+  return m_requestBody.IsWithdrawn();
 }
 
 bool
 Exchange::UpstreamWrite(const char* aBytes, std::size_t aSize)
 {
   Lock lock(m_mutex);
-  if (m_callerDisconnected) {
+  if (m_callerDisconnected || m_answeredWhole) {
     return true;
   }
   if (!m_responseBody.empty() &&
@@ -210,25 +211,21 @@
 Exchange::UpstreamFinish()
 {
   Lock lock(m_mutex);
-  m_responseComplete = true;
-  DiscardRequestBody();
-  WakeCaller();
+  if (!m_responseComplete && !m_responseAborted) {
+    m_responseComplete = true;
+    WithdrawRequest();
+  }
 }
 
 void
 Exchange::UpstreamBreak()
 {
   Lock lock(m_mutex);
+  if (m_responseComplete || m_responseAborted) {
+    return;
+  }
   m_responseAborted = true;
-  DiscardRequestBody();
-  WakeCaller();
-}
-
-void
-Exchange::SetUpstreamWake(std::function<void()> aWakeup)
-{
-  Lock lock(m_mutex);
-  m_upstreamWakeup = std::move(aWakeup);
+  WithdrawRequest();
 }
 
 bool
@@ -252,10 +249,10 @@
   }
   aHead.length = aBody.size();
   m_responseHead = std::move(aHead);
-  DiscardRequestBody();
   m_responseBody = aBody;
+  m_answeredWhole = true;
   m_responseComplete = true;
-  WakeCaller();
+  WithdrawRequest();
   return true;
 }
 
--- a/src/sapphirelane/proxy/exchange_test.cpp
+++ b/src/sapphirelane/proxy/exchange_test.cpp
@@ -30,13 +30,15 @@
   ExchangeFixture()
   {
     m_exchange.SetPort(std::make_unique<RecordingConnection>(m_suspended));
+    m_attempt = m_exchange.AddAttempt([] {});
   }
 
   std::string UpstreamRead(StreamResult& aResult)
   {
     std::array<char, 64> bytes{};
     std::size_t read = 0;
-    aResult = m_exchange.UpstreamRead(bytes.data(), bytes.size(), read);
+    aResult =
+      m_exchange.UpstreamRead(*m_attempt, bytes.data(), bytes.size(), read);
     return { bytes.data(), read };
   }
 
@@ -50,6 +52,7 @@
 
   bool m_suspended = false;
   Exchange m_exchange{ RequestHead{}, 8 };
+  std::optional<Exchange::AttemptId> m_attempt; ///< See UpstreamRead.
 };
 
 TEST_CASE_METHOD(ExchangeFixture,
@@ -87,18 +90,35 @@
   CHECK(result == StreamResult::Broken);
 }
 
-TEST_CASE_METHOD(ExchangeFixture,
-                 "Exchange, rewound, reads the body from its start; a large "
-                 "one cannot be")
+TEST_CASE_METHOD(
+  ExchangeFixture,
+  "Exchange, second attempt, reads the body from its start; that "
+  "of a large one cannot be")
 {
   m_exchange.CallerWrite("0123", 4);
   StreamResult result = StreamResult::Wait;
   CHECK(UpstreamRead(result) == "0123");
-  CHECK(m_exchange.RewindRequest());
+  m_attempt = m_exchange.AddAttempt([] {});
+  REQUIRE(m_attempt);
   CHECK(UpstreamRead(result) == "0123");
   m_exchange.CallerWrite("45678", 5);
   CHECK(UpstreamRead(result) == "45678");
-  CHECK_FALSE(m_exchange.RewindRequest());
+  CHECK_FALSE(m_exchange.AddAttempt([] {}));
+}
+
+/// Guards against an endpoint's bytes behind a whole answer.
+TEST_CASE_METHOD(ExchangeFixture,
+                 "Exchange, upstream answers a request that was refused, keeps "
+                 "the refusal")
+{
+  m_exchange.AnswerWhole({ 413, {}, std::nullopt }, "refused");
+  CHECK_FALSE(m_exchange.Answer({ 200, {}, std::nullopt }));
+  CHECK(m_exchange.UpstreamWrite("served", 6));
+  m_exchange.UpstreamBreak();
+  StreamResult result = StreamResult::Wait;
+  CHECK(CallerRead(result) == "refused");
+  CallerRead(result);
+  CHECK(result == StreamResult::End);
 }
 
 /// Guards against a body that is cut by a refusal and looks whole.
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -462,7 +462,7 @@
   Head(1, 503, shed);
   End(1, false, true, "cancelled");
   REQUIRE(m_upstreams.started.size() == 2);
-  CHECK(m_upstreams.started[1].rewind);
+  CHECK(m_upstreams.started[1].exchange == m_upstreams.started[0].exchange);
   for (std::uint64_t attempt : { 2, 3 }) {
     Head(attempt, 503, shed);
     End(attempt, false, true, "cancelled");
@@ -471,6 +471,20 @@
   CHECK(Outcome(plain) == "not-run");
 }
 
+/// Guards against an endpoint's answer behind a refusal of the session.
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, session has refused the body, forwards no answer "
+                 "of the endpoint")
+{
+  const auto exchange = Send("POST", "/plain/1");
+  exchange->AnswerWhole({ 413, {}, std::nullopt }, "too large");
+  Head(1, 200);
+  CHECK(m_upstreams.accepted.empty());
+  CHECK(m_upstreams.cancelled == std::vector<std::uint64_t>{ 1 });
+  CHECK(m_dispatcher->InFlight() == 0);
+  CHECK(Status(exchange) == 413);
+}
+
 TEST_CASE_METHOD(SessionFixture,
                  "Dispatcher, slow read, is hedged and the slower attempt is "
                  "cancelled")
--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -462,6 +462,23 @@
   CHECK(endpoint.ReadUntil("0\r\n\r\n") == "");
 }
 
+TEST_CASE_METHOD(SlowUploadFixture,
+                 "UpstreamClient, request is answered before its attempt "
+                 "starts, sends nothing",
+                 "[body]")
+{
+  for (const bool hasBody : { false, true }) {
+    AttemptOrder params = MakeUpload(1);
+    params.has_body = hasBody;
+    params.exchange->CallerFinish();
+    params.exchange->AnswerWhole({ 504, {}, std::nullopt }, "late");
+    m_io->Start(params);
+    const AttemptEvent end = NextEvent();
+    CHECK_FALSE(end.sent);
+    CHECK_FALSE(end.whole);
+  }
+}
+
 /// Guards against two attempts that take bytes from each other.
 TEST_CASE_METHOD(SlowUploadFixture,
                  "UpstreamClient, second attempt while the body arrives, sends "
@@ -471,14 +488,13 @@
   RawConnection first = StartUpload("first");
   AttemptOrder params = MakeUpload(2);
   params.exchange = m_exchange;
-  params.rewind = true;
   m_io->Start(params);
   RawConnection second = m_listener.Accept();
   second.ReadUntil("first\r\n");
   ArriveLast("last");
   const std::string rest = "4\r\nlast\r\n0\r\n\r\n";
-  CHECK(second.ReadUntil(rest) == rest);
   CHECK(first.ReadUntil(rest) == rest);
+  CHECK(second.ReadUntil(rest) == rest);
 }
 
 /// Bytes that sockets may hold on both sides, and what the client may buffer.
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -83,11 +83,9 @@
     Finish(false, "the right to send had lapsed");
     return;
   }
-  if (m_attempt.rewind && !m_attempt.exchange->RewindRequest()) {
-    Finish(false, "the body is too large to be sent again");
+  if (!JoinExchange()) {
     return;
   }
-  RegisterWake();
   const std::string key = absl::StrCat(
     m_attempt.endpoint, "@", m_attempt.address, "/", m_attempt.lifetime);
   if (!m_attempt.new_connection) {
@@ -104,10 +102,12 @@
   Connect();
 }
 
-void
-UpstreamTransfer::RegisterWake()
+/// Starts to read the request body.
+/// @return False if that is not possible; the attempt is finished then.
+bool
+UpstreamTransfer::JoinExchange()
 {
-  m_attempt.exchange->SetUpstreamWake(
+  m_exchangeId = m_attempt.exchange->AddAttempt(
     [io = &m_context.io, weak = weak_from_this()] {
       asio::post(*io, [weak] {
         if (auto self = weak.lock()) {
@@ -115,6 +115,27 @@
         }
       });
     });
+  if (m_exchangeId) {
+    return true;
+  }
+  if (!FinishIfAnswered()) {
+    Finish(false, "the body is too large to be sent again");
+  }
+  return false;
+}
+
+/// Ends an attempt that is no longer needed before it sends more.
+/// @return True if the request has been answered or refused.
+bool
+UpstreamTransfer::FinishIfAnswered()
+{
+  if (!m_attempt.exchange->IsAnswered()) {
+    return false;
+  }
+  m_callerAborted = true;
+  m_reusable = false;
+  Finish(false, "the request was answered meanwhile");
+  return true;
 }
 
 void
@@ -189,6 +210,9 @@
     Finish(false, "the right to send had lapsed");
     return;
   }
+  if (FinishIfAnswered()) {
+    return;
+  }
   StartTimer(m_attempt.give_up, "no answer in time");
   m_parser.emplace(kMaxHeadBytes);
   m_output = FormatRequestHead(aNow);
@@ -238,9 +262,11 @@
     return;
   }
   if (!AppendRequestBody()) {
-    m_callerAborted = true;
-    m_reusable = false;
-    Finish(false, "the caller broke its body off");
+    if (!FinishIfAnswered()) {
+      m_callerAborted = true;
+      m_reusable = false;
+      Finish(false, "the caller broke its body off");
+    }
     return;
   }
   if (m_output.empty()) {
@@ -256,15 +282,15 @@
 }
 
 /// Appends available bytes of the request body to the output.
-/// @return False if the caller aborted the body.
+/// @return False if the body was broken off.
 bool
 UpstreamTransfer::AppendRequestBody()
 {
   std::string block(m_requestComplete ? 0 : kBlockBytes, '\0');
   while (!m_requestComplete && m_output.size() < kBlockBytes) {
     std::size_t size = 0;
-    switch (
-      m_attempt.exchange->UpstreamRead(block.data(), block.size(), size)) {
+    switch (m_attempt.exchange->UpstreamRead(
+      *m_exchangeId, block.data(), block.size(), size)) {
       case StreamResult::Some:
         if (!m_attempt.length) {
           absl::StrAppend(&m_output, absl::Hex(size), "\r\n");
@@ -572,7 +598,6 @@
 UpstreamTransfer::ForwardResponse()
 {
   m_forwarding = true;
-  RegisterWake(); // A hedged attempt may have replaced the callback.
   FlushResponse();
   if (!m_finished && m_parser) {
     Read();
@@ -599,6 +624,9 @@
   m_finished = true;
   m_complete = aComplete;
   m_timer.cancel();
+  if (m_exchangeId) {
+    m_attempt.exchange->CloseRequestBody(*m_exchangeId);
+  }
   AttemptEvent event;
   event.id = m_attempt.id;
   event.whole = aComplete;
@@ -692,6 +720,9 @@
 void
 UpstreamTransfer::NotifyDone()
 {
+  if (m_exchangeId) {
+    m_attempt.exchange->RemoveAttempt(*m_exchangeId);
+  }
   m_context.on_done(m_attempt.id);
 }
 
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -43,8 +43,8 @@
   void Cancel();
 
 private:
-  /// Makes the exchange wake this transfer from now on.
-  void RegisterWake();
+  bool JoinExchange();
+  bool FinishIfAnswered();
 
   using Error = boost::system::error_code;
 
@@ -88,6 +88,7 @@
 
   AttemptOrder m_attempt;
   TransferContext& m_context;
+  std::optional<Exchange::AttemptId> m_exchangeId; ///< Of this attempt.
   boost::asio::steady_timer m_timer;
   UpstreamConnectionPtr m_connection;
   bool m_connecting = false;
