Keep what is read from a connection apart from what waits for the parser

Cause: the session left a read into m_input.prepare() outstanding and consumed from m_input when its exchange had room again. A flat_buffer that becomes empty starts again at its begin, so that the next commit() took old bytes for those that were read.

Evidence: by a test that steps one session: the last third of a body that came faster than it was sent on was replaced by old bytes of the same number, and the request behind it was never read; of 400 pipelined requests the session stopped at one that it could not read.

Change: ReadBuffer has a block for the read and a buffer for what waits; nothing that is consumed touches the block. Connections to endpoints use it too: by reading, they consume only between reads, so this changes nothing there but that it stays so.

Tests: the two of CallerSession failed before.

--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -141,12 +141,12 @@
 {
   const std::size_t limit =
     std::max(kMaxUnparsedBytes, m_context.limits.head_bytes + 1);
-  if (!m_open || m_reading || m_input.size() >= limit) {
+  if (!m_open || m_reading || m_input.Size() >= limit) {
     return;
   }
   m_reading = true;
   m_socket.async_read_some(
-    m_input.prepare(kReadBytes),
+    m_input.Prepare(kReadBytes),
     [self = shared_from_this()](const boost::system::error_code& aError,
                                 std::size_t aSize) {
       self->OnRead(aError, aSize);
@@ -166,11 +166,11 @@
     return;
   }
   if (m_lingering || m_inputEnded) {
-    m_input.clear(); // No further request is accepted; discard the input.
+    m_input.Clear(); // No further request is accepted; discard the input.
     Read();
     return;
   }
-  m_input.commit(aSize);
+  m_input.Commit(aSize);
   m_lastActive = Clock::now();
   ParseInput();
   Read();
@@ -196,16 +196,14 @@
 bool
 CallerSession::ParseHead()
 {
-  if (m_input.size() == 0 || m_pipeline.size() >= kMaxPipelinedRequests) {
+  if (m_input.Size() == 0 || m_pipeline.size() >= kMaxPipelinedRequests) {
     m_headIncomplete = false;
     return false;
   }
-  const auto bytes = m_input.data();
-  const HeadScanResult scan =
-    ScanHead({ static_cast<const char*>(bytes.data()), bytes.size() });
+  const HeadScanResult scan = ScanHead(m_input.Text());
   const bool tooLarge =
     scan.size > m_context.limits.head_bytes ||
-    (scan.size == 0 && bytes.size() > m_context.limits.head_bytes);
+    (scan.size == 0 && m_input.Size() > m_context.limits.head_bytes);
   if (tooLarge) {
     RejectInput(431, "the head is above the limit");
     return false;
@@ -226,7 +224,7 @@
   m_parser->header_limit(static_cast<std::uint32_t>(scan.size + 1));
   m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   boost::system::error_code error;
-  m_input.consume(m_parser->put(m_input.data(), error));
+  m_input.Consume(m_parser->put(m_input.Data(), error));
   if (error && error != http::error::need_more) {
     RejectInput(400, "the head cannot be read: " + error.message());
     return false;
@@ -306,12 +304,12 @@
     FinishRequestBody();
     return true;
   }
-  if (m_input.size() == 0) {
+  if (m_input.Size() == 0) {
     return false;
   }
   boost::system::error_code error;
-  const std::size_t used = m_parser->put(m_input.data(), error);
-  m_input.consume(used);
+  const std::size_t used = m_parser->put(m_input.Data(), error);
+  m_input.Consume(used);
   m_undelivered += m_parser->TakeBody();
   m_receivedBytes += m_undelivered.size();
   if (error && error != http::error::need_more) {
@@ -319,7 +317,7 @@
     return false;
   }
   // Body bytes are always used, so what is left is framing without an end.
-  if (used == 0 && m_input.size() > m_context.limits.head_bytes) {
+  if (used == 0 && m_input.Size() > m_context.limits.head_bytes) {
     RejectBody("the framing of the body is above the limit");
     return false;
   }
@@ -377,7 +375,7 @@
 {
   m_inputEnded = true;
   m_headIncomplete = false;
-  m_input.clear();
+  m_input.Clear();
   auto request = AddToPipeline({});
   request->closes_connection = true;
   request->exchange->CallerFinish();
@@ -550,7 +548,7 @@
   }
   m_pipeline.clear();
   m_receiving.reset();
-  m_input.clear();
+  m_input.Clear();
   boost::system::error_code ignored;
   m_socket.shutdown(Socket::shutdown_send, ignored);
   Read();
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -8,10 +8,10 @@
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include "sapphirelane/proxy/exchange.h"
 #include "sapphirelane/proxy/message_parser.h"
+#include "sapphirelane/proxy/read_buffer.h"
 
 namespace sapphirelane {
 
@@ -117,7 +117,7 @@
 
   Socket m_socket;
   SessionContext& m_context;
-  boost::beast::flat_buffer m_input;
+  ReadBuffer m_input;
   std::optional<RequestParser> m_parser;
   PipelinedRequestPtr m_receiving; ///< Its body is being read.
   std::string m_undelivered; ///< Decoded, not yet accepted by the exchange.
--- a/src/sapphirelane/proxy/caller_session_test.cpp
+++ b/src/sapphirelane/proxy/caller_session_test.cpp
@@ -1,6 +1,8 @@
 #include "sapphirelane/proxy/caller_session.h"
 
+#include <array>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,11 +41,13 @@
     m_caller.Write("GET " + aTarget + " HTTP/1.1\r\nHost: a\r\n\r\n");
   }
 
+  void RunOne() { REQUIRE(m_io.run_one_for(std::chrono::seconds(20)) > 0); }
+
   /// Lets the session read until it has passed on a number of requests.
   void ReadUntil(std::size_t aRequests)
   {
     while (m_requests.size() < aRequests) {
-      m_io.run_one();
+      RunOne();
     }
   }
 
@@ -55,12 +59,44 @@
     }
   }
 
+  /// Reads bytes of the last request's body as an attempt does, and lets the
+  /// session go on meanwhile.
+  std::string ReadBody(std::size_t aSize)
+  {
+    Exchange& exchange = *m_requests.back();
+    if (!m_attempt) {
+      m_attempt = exchange.AddAttempt([] {});
+    }
+    std::string body;
+    std::array<char, 512> bytes{};
+    while (body.size() < aSize) {
+      std::size_t read = 0;
+      exchange.UpstreamRead(*m_attempt, bytes.data(), bytes.size(), read);
+      body.append(bytes.data(), read);
+      if (read == 0) {
+        RunOne();
+      }
+    }
+    return body;
+  }
+
+  /// Numbered words up to a size, so that each place tells itself apart.
+  static std::string MakeText(std::size_t aSize)
+  {
+    std::string text;
+    for (int number = 0; text.size() < aSize; ++number) {
+      text += std::to_string(number) + " ";
+    }
+    return text.substr(0, aSize);
+  }
+
   asio::io_context m_io{ 1 };
   tcp::acceptor m_acceptor;
   RawConnection m_caller;
   SessionContext m_context;
   std::shared_ptr<CallerSession> m_session;
   std::vector<ExchangePtr> m_requests;
+  std::optional<Exchange::AttemptId> m_attempt; ///< See ReadBody.
   TimePoint m_now{ std::chrono::hours(1) };
 };
 
@@ -108,5 +144,57 @@
   CHECK_FALSE(m_session->AwaitsRequest(m_now + Milliseconds(300)));
 }
 
+/// Guards against bytes that are consumed from memory into which a read is
+/// under way.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, body comes faster than it is sent on, passes "
+                 "it on unchanged, and the next request",
+                 "[body]")
+{
+  constexpr std::size_t kPartBytes = 5000;
+  m_context.limits.buffer_bytes = 1024;
+  const std::string body = MakeText(3 * kPartBytes);
+  m_caller.Write("POST /upload HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                 std::to_string(body.size()) + "\r\n\r\n" +
+                 body.substr(0, kPartBytes));
+  ReadUntil(1);
+  m_caller.Write(body.substr(kPartBytes, kPartBytes));
+  RunOne(); // Reads the second part, for which there is no room yet.
+  std::string read = ReadBody(2 * kPartBytes);
+  m_caller.Write(body.substr(2 * kPartBytes) +
+                 "GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+  read += ReadBody(kPartBytes);
+  CHECK(read == body);
+  ReadUntil(2);
+  CHECK(m_requests.back()->Head().target == "/next");
+}
+
+/// Guards against the same where the pipeline is full.
+TEST_CASE_METHOD(
+  CallerSessionFixture,
+  "CallerSession, 400 pipelined requests, passes on each of them "
+  "once and in order",
+  "[body]")
+{
+  constexpr std::size_t kRequests = 400;
+  for (std::size_t sent = 0; sent < kRequests;) {
+    std::string requests;
+    for (std::size_t i = 0; i < kRequests / 4; ++i, ++sent) {
+      requests +=
+        "GET /" + std::to_string(sent) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
+    m_caller.Write(requests);
+    for (std::size_t answered = m_requests.size(); answered < sent;
+         ++answered) {
+      ReadUntil(answered + 1);
+      m_requests[answered]->AnswerWhole({ 200, {}, std::nullopt }, "own");
+    }
+  }
+  REQUIRE(m_requests.size() == kRequests);
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    CHECK(m_requests[i]->Head().target == "/" + std::to_string(i));
+  }
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/connection_pool.h
+++ b/src/sapphirelane/proxy/connection_pool.h
@@ -11,9 +11,9 @@
 #include <absl/container/flat_hash_set.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include "sapphirelane/base/time.h"
+#include "sapphirelane/proxy/read_buffer.h"
 
 namespace sapphirelane {
 
@@ -27,7 +27,7 @@
 
   std::uint64_t number = 0; ///< In log lines; unique within the daemon.
   boost::asio::ip::tcp::socket socket;
-  boost::beast::flat_buffer input;
+  ReadBuffer input;
   std::string pool_key; ///< Endpoint, address and lifetime.
   TimePoint last_used{};
   TimePoint expires_at{}; ///< Not reused at or after this time.
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -344,7 +344,7 @@
   }
   m_reading = true;
   m_connection->socket.async_read_some(
-    m_connection->input.prepare(kBlockBytes),
+    m_connection->input.Prepare(kBlockBytes),
     [self = shared_from_this(), connection = m_connection](
       const Error& aError, std::size_t aSize) { self->OnRead(aError, aSize); });
 }
@@ -361,12 +361,12 @@
     return;
   }
   m_receivedAny = true;
-  m_connection->input.commit(aSize);
+  m_connection->input.Commit(aSize);
   while (!m_finished && ParseInput()) {
   }
   // The parser checks the size of a chunk's extension and of the trailers only
   // once they are complete.
-  if (!m_finished && m_connection->input.size() > kMaxHeadBytes) {
+  if (!m_finished && m_connection->input.Size() > kMaxHeadBytes) {
     m_reusable = false;
     Finish(false, "the answer's framing is too long");
   }
@@ -447,14 +447,12 @@
 UpstreamTransfer::ParseInput()
 {
   auto& input = m_connection->input;
-  if (input.size() == 0) {
+  if (input.Size() == 0) {
     return false;
   }
   if (!m_parser->is_header_done()) {
-    const auto bytes = input.data();
-    const HeadScanResult scan =
-      ScanHead({ static_cast<const char*>(bytes.data()), bytes.size() });
-    if (scan.size == 0 && bytes.size() < kMaxHeadBytes) {
+    const HeadScanResult scan = ScanHead(input.Text());
+    if (scan.size == 0 && input.Size() < kMaxHeadBytes) {
       return false;
     }
     if (scan.size == 0 || scan.size > kMaxHeadBytes || !scan.error.empty()) {
@@ -469,8 +467,8 @@
   }
   const bool headWasDone = m_parser->is_header_done();
   Error error;
-  const std::size_t used = m_parser->put(input.data(), error);
-  input.consume(used);
+  const std::size_t used = m_parser->put(input.Data(), error);
+  input.Consume(used);
   if (error && error != http::error::need_more) {
     m_reusable = false;
     Finish(false, "the answer cannot be read: " + error.message());
@@ -496,7 +494,7 @@
     m_mismatched = false;
     return true;
   }
-  return used > 0 && input.size() > 0;
+  return used > 0 && input.Size() > 0;
 }
 
 void
@@ -692,13 +690,13 @@
     return false;
   }
   const bool strayBytes =
-    m_complete && m_parser->is_done() && m_connection->input.size() > 0;
+    m_complete && m_parser->is_done() && m_connection->input.Size() > 0;
   if (strayBytes) {
     RecordStrayBytes();
   }
   const bool reusable = m_complete && m_reusable && m_requestComplete &&
                         !m_writing && m_parser->keep_alive() &&
-                        m_connection->input.size() == 0;
+                        m_connection->input.Size() == 0;
   bool kept = false;
   if (reusable) {
     const Duration maxIdleTime = m_context.options.proven_for;
