Take a setting without a value for absent, and name it in the log

What operators saw: since the settings template has 'new_fleet: {{bootstrap|json}}'; where that field is not given it renders null, and the daemon ends with status 3: 'expected true or false, found a list or a map'.

Cause: YamlReader asked only whether a field is there; a field without a value is there and is no scalar.

Change: such a field is absent for every kind of read, so the default holds, and the daemon names it when it starts ('A setting has no value; its default holds. field=new_fleet').

Tests of both kinds are added.

--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -88,6 +88,9 @@
   ExtraSettings extras;
   LimitSettings limits;
   PolicySettings policies;
+  /// Paths of the fields of the file that have no value; defaults hold for
+  /// them.
+  std::vector<std::string> fields_without_value;
 };
 
 /// @brief Reads and checks a daemon's whole settings file.
--- a/include/sapphirelane/config/yaml_reader.h
+++ b/include/sapphirelane/config/yaml_reader.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_CONFIG_YAML_READER_H
 
 #include <cstdint>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,8 +15,9 @@
 
 /// @brief Reads one YAML map field by field and refuses what it does not know.
 ///
-/// Each Read leaves the value as it is when the field is absent. Every error
-/// is a ConfigError that names file, line, column, field and expectation.
+/// Each Read leaves the value as it is when the field is absent or has no value
+/// ("field:" or "field: null"). Every error is a ConfigError that names file,
+/// line, column, field and expectation.
 class YamlReader
 {
 public:
@@ -56,6 +58,13 @@
   /// @brief Refuses the fields that were not read.
   void Finish() const;
 
+  /// @brief Paths of the fields that were read so far, by this reader and those
+  /// of its maps, and have no value.
+  const std::vector<std::string>& FieldsWithoutValue() const
+  {
+    return *m_withoutValue;
+  }
+
   /// @brief Throws a ConfigError about a field.
   [[noreturn]] void Refuse(const std::string& aField,
                            const std::string& aExpected) const;
@@ -69,10 +78,15 @@
                             std::uint64_t aMost);
   YAML::Node Find(const std::string& aField);
 
+  /// A reader of a part of this one's map.
+  YamlReader Part(const std::string& aPath, const YAML::Node& aNode) const;
+
   std::string m_file;
   std::string m_path;
   YAML::Node m_node;
   std::set<std::string> m_known;
+  std::shared_ptr<std::vector<std::string>>
+    m_withoutValue; ///< Shared by parts.
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -157,6 +157,7 @@
   ReadLimits(aReader.Map("limits"), settings.limits);
   ReadPolicies(aReader.Map("policies"), settings.policies);
   aReader.Finish();
+  settings.fields_without_value = aReader.FieldsWithoutValue();
   return settings;
 }
 
--- a/src/sapphirelane/config/settings_test.cpp
+++ b/src/sapphirelane/config/settings_test.cpp
@@ -77,6 +77,40 @@
         "found \"localhost\"");
 }
 
+/// Guards against a daemon that ends since a template was not given a field.
+TEST_CASE_METHOD(SettingsFixture,
+                 "Settings, fields without a value, keep their defaults and "
+                 "are named")
+{
+  for (const char* value : { "", " null", " ~" }) {
+    const std::string text = value;
+    const EntrySettings settings =
+      Load("new_fleet:" + text + "\nseeds:" + text + "\nlimits:" + text +
+           "\nextras: { share:" + text + " }\ndrain_ms:" + text + "\n");
+    CHECK_FALSE(settings.new_fleet);
+    CHECK(settings.seeds.empty());
+    CHECK(settings.limits.in_flight == LimitSettings().in_flight);
+    CHECK(settings.drain == EntrySettings().drain);
+    CHECK(settings.fields_without_value ==
+          std::vector<std::string>{
+            "seeds", "new_fleet", "drain_ms", "extras.share", "limits" });
+  }
+}
+
+TEST_CASE_METHOD(SettingsFixture,
+                 "Settings, required field without a value, says what was "
+                 "found")
+{
+  try {
+    ReadEntrySettings("file", "host: null\n");
+    FAIL("host is required");
+  } catch (const ConfigError& error) {
+    CHECK(
+      error.what() ==
+      std::string("file:1:7: field \"host\": expected a text, found no value"));
+  }
+}
+
 TEST_CASE_METHOD(SettingsFixture, "Settings, not YAML, names the place")
 {
   CHECK(ErrorOf("limits: [ 1\n").find(":7:1: ") == 0);
--- a/src/sapphirelane/config/yaml_reader.cpp
+++ b/src/sapphirelane/config/yaml_reader.cpp
@@ -21,6 +21,9 @@
 std::string
 ShownValue(const YAML::Node& aNode)
 {
+  if (aNode.IsNull()) {
+    return "no value";
+  }
   return aNode.IsScalar() ? "\"" + aNode.Scalar() + "\"" : "a list or a map";
 }
 
@@ -32,6 +35,7 @@
   : m_file(std::move(aFile))
   , m_path(std::move(aPath))
   , m_node(aNode)
+  , m_withoutValue(std::make_shared<std::vector<std::string>>())
 {
   if (!m_node.IsMap()) {
     throw ConfigError(PlaceOf(m_file, m_node.Mark()) + ": field \"" + m_path +
@@ -64,9 +68,24 @@
 YAML::Node
 YamlReader::Find(const std::string& aField)
 {
-  m_known.insert(aField);
-  const YAML::Node& node = m_node;
-  return node[aField];
+  const bool first = m_known.insert(aField).second;
+  const YAML::Node& map = m_node;
+  const YAML::Node node = map[aField];
+  if (!node.IsDefined() || !node.IsNull()) {
+    return node;
+  }
+  if (first) {
+    m_withoutValue->push_back(m_path + aField);
+  }
+  return YAML::Node(YAML::NodeType::Undefined);
+}
+
+YamlReader
+YamlReader::Part(const std::string& aPath, const YAML::Node& aNode) const
+{
+  YamlReader part(m_file, aPath, aNode);
+  part.m_withoutValue = m_withoutValue;
+  return part;
 }
 
 bool
@@ -94,9 +113,9 @@
 {
   YAML::Node node = Find(aField);
   if (!node.IsDefined()) {
-    return { m_file, m_path + aField + ".", YAML::Node(YAML::NodeType::Map) };
+    return Part(m_path + aField + ".", YAML::Node(YAML::NodeType::Map));
   }
-  return { m_file, m_path + aField + ".", node };
+  return Part(m_path + aField + ".", node);
 }
 
 std::vector<YamlReader>
@@ -112,7 +131,7 @@
   }
   for (std::size_t i = 0; i < node.size(); ++i) {
     readers.push_back(
-      { m_file, m_path + aField + "[" + std::to_string(i) + "].", node[i] });
+      Part(m_path + aField + "[" + std::to_string(i) + "].", node[i]));
   }
   return readers;
 }
--- a/src/sapphirelane/programs/entry.cpp
+++ b/src/sapphirelane/programs/entry.cpp
@@ -54,11 +54,24 @@
   }
 }
 
+/// Names the fields of the settings file that were left without a value, as a
+/// template does for what it is not given.
+void
+LogFieldsWithoutValue(const sapphirelane::EntrySettings& aSettings)
+{
+  for (const std::string& field : aSettings.fields_without_value) {
+    sapphirelane::LogLine("entry",
+                          "A setting has no value; its default holds.",
+                          sapphirelane::LogFields().Add("field", field));
+  }
+}
+
 int
 Serve(const sapphirelane::EntrySettings& aSettings,
       const std::string& aFile,
       sapphirelane::SignalWaiter& aSignals)
 {
+  LogFieldsWithoutValue(aSettings);
   auto app = sapphirelane::MakeEntryApp(aSettings);
   app->Start();
   while (aSignals.Wait() == SIGHUP) {
