Send nothing for a caller that is known to have left

What callers saw: nothing; endpoints got work whose caller had gone. A further attempt was made in the same way, and spent from the retry budget.

Change: SendOrRequeue abandons such a request, and TryRetry makes no attempt for it.

Tests: two of the dispatcher, both failed before (7 attempts where 6 were due; 2 where 1).

--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -697,6 +697,10 @@
                      PendingRequest& aRequest,
                      TimePoint aNow)
   {
+    if (aRequest.exchange->IsCallerGone()) {
+      Abandon(aId, aRequest, aNow);
+      return;
+    }
     const auto heldBack = RefusalIfHeldBack(aRequest, aNow);
     if (heldBack) {
       RefuseAdmitted(aId, *heldBack, aNow);
@@ -989,7 +993,7 @@
   bool TryRetry(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
   {
     const bool allowed =
-      HasAttemptsLeft(aRequest) &&
+      HasAttemptsLeft(aRequest) && !aRequest.exchange->IsCallerGone() &&
       m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow) &&
       TakeFromFleetBudget(aId, aRequest, aNow);
     if (!allowed || !TryStartAttempt(aId, aRequest, aNow)) {
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -471,6 +471,34 @@
   CHECK(Outcome(plain) == "not-run");
 }
 
+/// Guards against work for callers that a frozen daemon finds gone as it wakes.
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, caller has left while its request waits, sends "
+                 "nothing when its turn comes")
+{
+  constexpr std::size_t kSlots = 6;
+  for (std::size_t i = 0; i < kSlots; ++i) {
+    Send("POST", "/plain/busy");
+  }
+  const auto left = Send("POST", "/plain/left");
+  left->CallerLeave();
+  Head(1, 200);
+  End(1, true);
+  CHECK(m_upstreams.started.size() == kSlots);
+  CHECK(m_dispatcher->InFlight() == kSlots - 1);
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, caller has left before its attempt fails, makes "
+                 "no further one")
+{
+  const auto left = Send("GET", "/read/1");
+  left->CallerLeave();
+  End(1, false);
+  CHECK(m_upstreams.started.size() == 1);
+  CHECK(m_dispatcher->InFlight() == 0);
+}
+
 /// Guards against an endpoint's answer behind a refusal of the session.
 TEST_CASE_METHOD(SessionFixture,
                  "Dispatcher, session has refused the body, forwards no answer "
