End a request with the attempt whose answer is forwarded, not with any other one

What callers saw: of a request with two attempts, the answer under way is cut off, ended early, or never ended.

Cause: once an answer is forwarded, the other attempts are cancelled on another thread; the head and end of one may already be on their way. OnAttemptEnd took each end behind a head for that of the answer: it finished the request, which cancelled the forwarding attempt, or broke the answer off; a claim kept the other answer's body.

Change: a request knows its forwarded attempt. An attempt that is cancelled while its caller reads the rest of the answer breaks that off; before, the caller waited for ever.

Tests: three of Dispatcher and one of UpstreamClient failed before.

--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -921,6 +921,7 @@
     }
     m_crashes.OnServed(aRequest, aNow);
     aRequest.stage = RequestStage::Responding;
+    aRequest.forwarded_attempt = aEvent.id;
     aRequest.response_status = aEvent.head.status;
     const std::string* type = FindHeader(aEvent.head.headers, "content-type");
     aRequest.response_content_type = type == nullptr ? "" : *type;
@@ -965,8 +966,10 @@
                   .Add("status", aEvent.head.status)
                   .Add("elapsed_ms", aNow - aAttempt.started));
     m_metrics.Count("sheds_total", { { "service", aRequest.service } });
-    // A retry rereads the request body, so the attempt has to end first.
-    m_upstreams.Cancel(aAttempt.id);
+    if (aRequest.stage != RequestStage::Responding) {
+      // A retry waits for the end of this attempt.
+      m_upstreams.Cancel(aAttempt.id);
+    }
   }
 
   /// Handles the end of the last running attempt after a shed response.
@@ -1064,7 +1067,7 @@
     const bool mayHaveRun = aEvent.sent && !attempt.shed;
     aRequest.may_have_run = aRequest.may_have_run || (mayHaveRun && !cancelled);
     if (aRequest.stage == RequestStage::Responding) {
-      if (!cancelled && attempt.head_received) {
+      if (attempt.id == aRequest.forwarded_attempt) {
         FinishResponse(aId, aRequest, aEvent, aNow);
       }
       return;
--- a/src/sapphirelane/proxy/pending_request.h
+++ b/src/sapphirelane/proxy/pending_request.h
@@ -66,6 +66,7 @@
   bool is_repeat = false;     ///< Another running request holds the claim.
   bool may_have_run = false;  ///< An attempt may have reached an upstream.
   bool hedged = false;
+  std::uint64_t forwarded_attempt = 0; ///< Its answer goes to the caller.
   int response_status = 0;
   std::string response_content_type;
   std::vector<Attempt> attempts;            ///< Running attempts.
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -85,6 +85,12 @@
     crashes.push_back(aReport);
   }
 
+  void ShareWork(const WorkReport& aReport, TimePoint /*aNow*/) override
+  {
+    bad += aReport.bad;
+    extra += aReport.extra ? 1 : 0;
+  }
+
   std::vector<ControlEvent> TakeEvents() override
   {
     return std::exchange(events, {});
@@ -102,6 +108,8 @@
   std::map<AskId, std::string> ids;
   std::vector<ControlEvent> events;
   std::vector<CrashReport> crashes; ///< Told to the fleet.
+  std::uint64_t bad = 0;            ///< Failures told to the fleet.
+  std::uint64_t extra = 0;          ///< Further attempts told to the fleet.
 };
 
 /// Records attempts instead of sending them.
@@ -1131,5 +1139,71 @@
   CHECK(used.size() == 3);
 }
 
+/// A request with two attempts, of which the first one's answer is forwarded
+/// and goes on; the other one's events were on their way at that moment. Guards
+/// against an answer that ends with the other attempt.
+class TwoAnswersFixture : public SessionFixture
+{
+protected:
+  TwoAnswersFixture()
+  {
+    for (int i = 0; i < 60; ++i) {
+      const auto attempt = m_upstreams.started.size() + 1;
+      Send("GET", "/read/warm");
+      m_now += Milliseconds(10);
+      Head(attempt, 200);
+      End(attempt, true);
+    }
+    m_first = m_upstreams.started.size() + 1;
+    m_read = Send("GET", "/read/slow");
+    AdvanceTime(Milliseconds(60));
+    REQUIRE(m_upstreams.started.size() == m_first + 1);
+    Head(m_first, 200);
+    m_read->UpstreamWrite("half", 4);
+    REQUIRE(Status(m_read) == 200);
+  }
+
+  /// Checks that the answer goes on and gets its end.
+  void CheckAnswerGoesOn()
+  {
+    CHECK(m_upstreams.cancelled == std::vector<std::uint64_t>{ m_first + 1 });
+    CHECK(m_dispatcher->InFlight() == 1);
+    char bytes[16];
+    std::size_t read = 0;
+    CHECK(m_read->CallerRead(bytes, sizeof bytes, read) == StreamResult::Some);
+    CHECK(m_read->CallerRead(bytes, sizeof bytes, read) == StreamResult::Wait);
+  }
+
+  std::uint64_t m_first = 0;
+  ExchangePtr m_read;
+};
+
+TEST_CASE_METHOD(TwoAnswersFixture,
+                 "Dispatcher, other attempt is answered before it is "
+                 "cancelled, does not end the answer that is forwarded")
+{
+  Head(m_first + 1, 200);
+  End(m_first + 1, true);
+  CheckAnswerGoesOn();
+}
+
+TEST_CASE_METHOD(TwoAnswersFixture,
+                 "Dispatcher, other attempt is shed before it is cancelled, "
+                 "does not end the answer that is forwarded")
+{
+  Head(m_first + 1, 503, { { HttpDialect{}.not_run, "not-run" } });
+  End(m_first + 1, true);
+  CheckAnswerGoesOn();
+}
+
+TEST_CASE_METHOD(TwoAnswersFixture,
+                 "Dispatcher, other attempt's answer is cut before it is "
+                 "cancelled, does not break off the answer that is forwarded")
+{
+  Head(m_first + 1, 200);
+  End(m_first + 1, false, true, "connection reset");
+  CheckAnswerGoesOn();
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <cstdlib>
 #include <future>
 #include <thread>
 #include <utility>
@@ -609,5 +610,38 @@
   writer.join();
 }
 
+/// Guards against a caller that waits for ever for the rest of an answer.
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, attempt is cancelled while a slow caller has "
+                 "not taken all of its answer, breaks the answer off")
+{
+  Start(1, false);
+  RawConnection endpoint = m_listener.Accept();
+  endpoint.ReadUntil("\r\n\r\n");
+  endpoint.Write(FormatResponse("1", std::string(200000, 'x')));
+  CHECK(NextEvent().head.status == 200);
+  m_exchange->Answer({ 200, {}, 200000 });
+  m_io->Accept(1);
+  CHECK(NextEvent().whole);
+  m_io->Cancel(1);
+  std::string block(65536, 'x');
+  std::size_t read = 0;
+  std::size_t total = 0;
+  StreamResult result = StreamResult::Wait;
+  const TimePoint end = Clock::now() + std::chrono::seconds(5);
+  while (Clock::now() < end &&
+         (result == StreamResult::Wait || result == StreamResult::Some)) {
+    result = m_exchange->CallerRead(block.data(), block.size(), read);
+    total += read;
+    if (result == StreamResult::Wait) {
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+  }
+  INFO("read " << total << " of 200000");
+  const bool ended =
+    result == StreamResult::Broken || result == StreamResult::End;
+  CHECK(ended);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -606,6 +606,9 @@
 UpstreamTransfer::Cancel()
 {
   if (m_finished) {
+    if (m_forwarding) {
+      m_attempt.exchange->UpstreamBreak(); // Its caller has not read all of it.
+    }
     NotifyDone();
     return;
   }
