Make no attempt for a body whose start is gone, and blame no endpoint for it

What callers saw: after an attempt that had read more than the buffer of an upload with a length, further endpoints were tried in vain, each counted as failed and as a further attempt, before the caller got its answer.

Cause: an attempt that cannot read the body's start ended as one that could not connect: not sent, the endpoint's fault.

Change: the dispatcher asks first whether the start is held (CanAddAttempt), before it spends a retry or a hedge. An attempt that meets it all the same, or whose request was answered meanwhile, ends with body_gone, which replaces caller_fault: no further attempt, no blame. Such a refusal's reason is 'body-gone' in place of 'caller-left'.

--- a/include/sapphirelane/proxy/exchange.h
+++ b/include/sapphirelane/proxy/exchange.h
@@ -114,6 +114,9 @@
 
   // Called by the dispatch thread.
 
+  /// @brief Whether AddAttempt would succeed now.
+  bool CanAddAttempt();
+
   /// @brief Sets the response head and wakes the caller.
   /// @return False if a head was set before.
   bool Answer(ResponseHead aHead);
--- a/include/sapphirelane/proxy/request_body.h
+++ b/include/sapphirelane/proxy/request_body.h
@@ -68,8 +68,11 @@
 
   // For the readers.
 
+  /// @brief Whether the first byte is still held and the body not withdrawn.
+  bool CanOpen() const { return !m_withdrawn && m_firstHeld == 0; }
+
   /// @brief Adds a reader that begins with the first byte.
-  /// @return Empty if that byte is no longer held, or after Withdraw().
+  /// @return Empty if CanOpen() is false.
   std::optional<ReaderId> Open();
 
   /// @brief Reads the next bytes; aRead is their number, above 0 with Some.
--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -62,7 +62,9 @@
   ResponseHead head;            ///< With Head.
   bool whole = false;           ///< With End: the response is complete.
   bool sent = true;             ///< With End: a byte may have been sent.
-  bool caller_fault = false; ///< With End: the caller aborted the request body.
+  /// With End: the attempt could not read the request's body any more, as the
+  /// caller broke it off, the request was answered, or its start is not held.
+  bool body_gone = false;
   SentBody sent_body = SentBody::Whole; ///< With End.
   bool kept = false; ///< With End: its connection went back to the pool.
   /// With End: the endpoint's process has ended while it had the request.
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -995,8 +995,10 @@
   /// Starts a further attempt if the retry budgets allow it.
   bool TryRetry(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
   {
+    const bool sendable =
+      !aRequest.exchange->IsCallerGone() && aRequest.exchange->CanAddAttempt();
     const bool allowed =
-      HasAttemptsLeft(aRequest) && !aRequest.exchange->IsCallerGone() &&
+      sendable && HasAttemptsLeft(aRequest) &&
       m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow) &&
       TakeFromFleetBudget(aId, aRequest, aNow);
     if (!allowed || !TryStartAttempt(aId, aRequest, aNow)) {
@@ -1079,7 +1081,7 @@
       OnShedAttemptEnd(aId, aRequest, aNow);
       return;
     }
-    if (!aEvent.caller_fault && !cancelled && !aEvent.stale) {
+    if (!aEvent.body_gone && !cancelled && !aEvent.stale) {
       state.Observe(
         attempt.endpoint, { WorkResult::Failed, aNow - attempt.started }, aNow);
     }
@@ -1104,20 +1106,20 @@
                   .Add("elapsed_ms", aNow - aAttempt.started)
                   .Add("sent", aEvent.sent ? "yes" : "no")
                   .Add("may_have_run", aRequest.may_have_run ? "yes" : "no"));
-    if (!aEvent.sent && !aEvent.caller_fault &&
+    if (!aEvent.sent && !aEvent.body_gone &&
         aRequest.attempts_made < kMaxPlacements && aNow < aRequest.deadline &&
         TryStartAttempt(aId, aRequest, aNow)) {
       return; // No byte was sent, so no retry budget is charged.
     }
     const bool repeatable = MayResend(aRequest) || !aRequest.may_have_run;
-    if (!aEvent.caller_fault && repeatable && TryRetry(aId, aRequest, aNow)) {
+    if (!aEvent.body_gone && repeatable && TryRetry(aId, aRequest, aNow)) {
       return;
     }
     if (!aRequest.may_have_run) {
       RefuseAdmitted(aId,
                      { 503,
                        Outcome::NotRun,
-                       aEvent.caller_fault ? "caller-left" : "unreachable",
+                       aEvent.body_gone ? "body-gone" : "unreachable",
                        "no connection to an upstream: " + aEvent.error },
                      aNow);
       return;
@@ -1253,7 +1255,7 @@
     const bool trial =
       !aRequest.attempts.empty() && aRequest.attempts.front().trial;
     if (aRequest.hedged || !MayResend(aRequest) ||
-        longest < state.HedgeAfter()) {
+        longest < state.HedgeAfter() || !aRequest.exchange->CanAddAttempt()) {
       return;
     }
     const bool allEjected = AllEndpointsEjected(aRequest, state);
@@ -1334,7 +1336,7 @@
   {
     WorkReport report;
     const bool failedEarly = !aEvent.whole && aEvent.error != "cancelled" &&
-                             !aEvent.caller_fault && !aEvent.stale;
+                             !aEvent.body_gone && !aEvent.stale;
     if (aAttempt.misdirected) {
       report.bad = kMisdirectedFailureCount;
     } else if (aAttempt.shed) {
--- a/src/sapphirelane/proxy/exchange.cpp
+++ b/src/sapphirelane/proxy/exchange.cpp
@@ -146,6 +146,13 @@
   return attempt;
 }
 
+bool
+Exchange::CanAddAttempt()
+{
+  Lock lock(m_mutex);
+  return m_requestBody.CanOpen();
+}
+
 void
 Exchange::RemoveAttempt(AttemptId aAttempt)
 {
--- a/src/sapphirelane/proxy/request_body.cpp
+++ b/src/sapphirelane/proxy/request_body.cpp
@@ -45,7 +45,7 @@
 std::optional<RequestBody::ReaderId>
 RequestBody::Open()
 {
-  if (m_withdrawn || m_firstHeld > 0) {
+  if (!CanOpen()) {
     return std::nullopt;
   }
   m_positions[++m_lastReader] = 0;
--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -219,6 +219,16 @@
     m_dispatcher->OnAttempt(event, m_now);
   }
 
+  /// Ends an attempt that found the start of its body gone.
+  void EndWithoutBody(std::uint64_t aAttempt)
+  {
+    AttemptEvent event;
+    event.id = aAttempt;
+    event.sent = false;
+    event.body_gone = true;
+    m_dispatcher->OnAttempt(event, m_now);
+  }
+
   void AdvanceTime(Duration aTime)
   {
     const TimePoint end = m_now + aTime;
@@ -1205,5 +1215,56 @@
   CheckAnswerGoesOn();
 }
 
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, body can no longer be sent again, tries and "
+                 "blames no further endpoints")
+{
+  const auto exchange = Send("POST", "/read/1", { { "Content-Length", "9" } });
+  End(1, false, true, "connection reset");
+  REQUIRE(m_upstreams.started.size() == 2);
+  const auto bad = m_control.bad;
+  const auto extra = m_control.extra;
+  EndWithoutBody(2);
+  CHECK(m_upstreams.started.size() == 2);
+  CHECK(Status(exchange) == 502);
+  CHECK(m_control.bad == bad);
+  CHECK(m_control.extra == extra);
+}
+
+/// A first attempt that has read past the buffer, then a hedge.
+TEST_CASE_METHOD(
+  TwoAnswersFixture,
+  "Dispatcher, hedge finds the body's start gone, does not blame "
+  "its endpoint")
+{
+  Head(m_first + 1, 500); // Ends the fixture's other attempt.
+  const auto slow = m_upstreams.started.size() + 1;
+  Send("POST", "/read/up", { { "Content-Length", "9" } });
+  AdvanceTime(Milliseconds(60));
+  REQUIRE(m_upstreams.started.size() == slow + 1);
+  const auto bad = m_control.bad;
+  EndWithoutBody(slow + 1);
+  CHECK(m_control.bad == bad);
+}
+
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, start of a body is no longer held, makes no "
+                 "further attempt and spends no retry",
+                 "[body]")
+{
+  const auto exchange = Send("POST", "/read/1", { { "Content-Length", "9" } });
+  exchange->CallerWrite("half", 4);
+  exchange->AddAttempt([] {});
+  std::string bytes(200000, 'x');
+  for (int i = 0; i < 2; ++i) {
+    std::size_t read = 0;
+    exchange->CallerWrite(bytes.data(), 65536);
+    exchange->UpstreamRead(1, bytes.data(), bytes.size(), read);
+  }
+  End(1, false, true, "connection reset");
+  CHECK(m_upstreams.started.size() == 1);
+  CHECK(Status(exchange) == 502);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -119,6 +119,7 @@
     return true;
   }
   if (!FinishIfAnswered()) {
+    m_bodyGone = true;
     Finish(false, "the body is too large to be sent again");
   }
   return false;
@@ -132,7 +133,7 @@
   if (!m_attempt.exchange->IsAnswered()) {
     return false;
   }
-  m_callerAborted = true;
+  m_bodyGone = true;
   m_reusable = false;
   Finish(false, "the request was answered meanwhile");
   return true;
@@ -263,7 +264,7 @@
   }
   if (!AppendRequestBody()) {
     if (!FinishIfAnswered()) {
-      m_callerAborted = true;
+      m_bodyGone = true;
       m_reusable = false;
       Finish(false, "the caller broke its body off");
     }
@@ -632,7 +633,7 @@
   event.id = m_attempt.id;
   event.whole = aComplete;
   event.sent = m_maybeSent;
-  event.caller_fault = m_callerAborted;
+  event.body_gone = m_bodyGone;
   event.sent_body = CheckSentBody(aError);
   event.stale = !aComplete && m_connection != nullptr && m_connection->reused &&
                 !m_receivedAny;
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -98,7 +98,7 @@
   std::uint64_t m_sentBodyBytes = 0; ///< Those in m_output included.
   bool m_sentBodyEnd = false;        ///< So is the end of the body.
   bool m_maybeSent = false;          ///< A byte may have been sent.
-  bool m_callerAborted = false;
+  bool m_bodyGone = false;
   std::optional<ResponseParser> m_parser;
   bool m_reading = false;
   bool m_checking = false;      ///< See CheckEndpoint.
