Break off an attempt that is far behind another one, in place of holding both up

A first attempt that stands still, as while its link is cut, held up the hedge that was to replace it: the writer got one buffer past the slowest reader.

Change: the writer goes by the fastest reader. Bytes that are further behind than the buffer size are dropped, and a reader that still needs them reads Broken, so its attempt ends without an end of the body. The bound of twice the buffer holds.

--- a/include/sapphirelane/proxy/request_body.h
+++ b/include/sapphirelane/proxy/request_body.h
@@ -27,13 +27,13 @@
 
 /// @brief Body of one request, written by its caller and read by its attempts.
 ///
-/// Each reader gets the bytes in order from the first one on, whatever other
-/// readers do, and End only after the last byte. After Withdraw() no reader
-/// gets anything but Broken, so that a part is never taken for the whole.
+/// Each reader gets the bytes in order from the first one on, and End only
+/// after the last byte. After Withdraw() no reader gets anything but Broken, so
+/// that a part is never taken for the whole.
 ///
-/// Holds at most twice the buffer size: unread bytes, and the start of the body
-/// for further readers while no reader is past the buffer size. Not
-/// thread-safe.
+/// Holds at most twice the buffer size: bytes that the fastest reader has not
+/// read, and as many behind it. A reader that falls further behind gets Broken,
+/// so that one that stands still does not hold up the others. Not thread-safe.
 class RequestBody
 {
 public:
@@ -46,7 +46,7 @@
 
   // For the writer.
 
-  /// @brief Appends bytes as far as the slowest reader leaves room.
+  /// @brief Appends bytes as far as the fastest reader leaves room.
   /// @return Number of bytes taken; after Withdraw() all, which are dropped.
   std::size_t Write(const char* aBytes, std::size_t aSize);
 
@@ -81,7 +81,7 @@
                     std::size_t aMaxBytes,
                     std::size_t& aRead);
 
-  /// @brief Removes a reader, which then holds up no other one.
+  /// @brief Removes a reader.
   void Close(ReaderId aReader);
 
 private:
@@ -92,8 +92,8 @@
     Broken
   };
 
-  std::uint64_t SlowestPosition() const;
-  void DropBytesNobodyNeeds();
+  std::uint64_t FastestPosition() const;
+  void DropBytes();
 
   const std::size_t m_bufferBytes;
   std::string m_bytes;           ///< Those held, from m_firstHeld on.
--- a/src/sapphirelane/proxy/exchange.cpp
+++ b/src/sapphirelane/proxy/exchange.cpp
@@ -166,7 +166,7 @@
 {
   Lock lock(m_mutex);
   m_requestBody.Close(aAttempt);
-  WakeCaller(); // The attempt may have held up the body.
+  WakeCaller(); // The next attempt reads on from another position.
 }
 
 StreamResult
--- a/src/sapphirelane/proxy/request_body.cpp
+++ b/src/sapphirelane/proxy/request_body.cpp
@@ -11,7 +11,7 @@
     m_received += aSize;
     return aSize;
   }
-  const std::size_t unread = m_received - SlowestPosition();
+  const std::size_t unread = m_received - FastestPosition();
   const std::size_t size =
     std::min(aSize, m_bufferBytes - std::min(m_bufferBytes, unread));
   m_bytes.append(aBytes, size);
@@ -60,7 +60,8 @@
 {
   aRead = 0;
   const auto reader = m_positions.find(aReader);
-  if (m_withdrawn || reader == m_positions.end()) {
+  if (m_withdrawn || reader == m_positions.end() ||
+      reader->second < m_firstHeld) {
     return StreamResult::Broken;
   }
   std::uint64_t& position = reader->second;
@@ -70,7 +71,7 @@
     std::copy_n(m_bytes.data() + offset, aRead, aBytes);
     position += aRead;
     m_furthestRead = std::max(m_furthestRead, position);
-    DropBytesNobodyNeeds();
+    DropBytes();
     return StreamResult::Some;
   }
   switch (m_end) {
@@ -88,33 +89,39 @@
 RequestBody::Close(ReaderId aReader)
 {
   m_positions.erase(aReader);
-  DropBytesNobodyNeeds();
 }
 
-/// Position up to which no open reader needs the bytes; the first one that is
-/// held if there is no reader.
+/// Position of the fastest open reader; that of the first byte held if there is
+/// none.
 std::uint64_t
-RequestBody::SlowestPosition() const
+RequestBody::FastestPosition() const
 {
-  std::uint64_t slowest = m_positions.empty() ? m_firstHeld : m_received;
+  std::uint64_t fastest = m_firstHeld;
   for (const auto& [reader, position] : m_positions) {
-    slowest = std::min(slowest, position);
+    fastest = std::max(fastest, position);
   }
-  return slowest;
+  return fastest;
 }
 
+/// Drops the bytes that every reader has read, and those that are further
+/// behind the fastest one than the buffer size. The start stays as long as a
+/// further reader may begin there.
 void
-RequestBody::DropBytesNobodyNeeds()
+RequestBody::DropBytes()
 {
-  const bool keepsStart = m_furthestRead <= m_bufferBytes;
-  if (keepsStart || m_withdrawn) {
+  if (m_furthestRead <= m_bufferBytes) {
     return;
   }
-  // Without a reader, none can be added any more.
+  std::uint64_t slowest = m_furthestRead;
+  for (const auto& [reader, position] : m_positions) {
+    slowest = std::min(slowest, position);
+  }
   const std::uint64_t needed =
-    m_positions.empty() ? m_received : SlowestPosition();
-  m_bytes.erase(0, needed - m_firstHeld);
-  m_firstHeld = needed;
+    std::max(slowest, m_furthestRead - m_bufferBytes);
+  if (needed > m_firstHeld) {
+    m_bytes.erase(0, needed - m_firstHeld);
+    m_firstHeld = needed;
+  }
 }
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -3,7 +3,6 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <cstdlib>
 #include <future>
 #include <thread>
 #include <utility>
@@ -643,5 +642,39 @@
   CHECK(ended);
 }
 
+/// Guards against a first attempt that holds up the second one, as its link is
+/// cut.
+TEST_CASE_METHOD(SlowUploadFixture,
+                 "UpstreamClient, first attempt of an upload stands still, "
+                 "the second one gets all of the body")
+{
+  m_exchange = MakeUploadExchange();
+  REQUIRE(m_exchange->AddAttempt([] {})); // Never reads.
+  AttemptOrder params = MakeUpload(2);
+  params.exchange = m_exchange;
+  params.length = 3 * 65536;
+  m_io->Start(params);
+  RawConnection endpoint = m_listener.Accept();
+  std::atomic<std::size_t> arrived{ 0 };
+  std::thread reader([&] {
+    endpoint.ReadUntil("\r\n\r\n");
+    while (endpoint.ReadUntil("x") == "x") {
+      ++arrived;
+    }
+  });
+  const std::string body(3 * 65536, 'x');
+  std::size_t written = 0;
+  const TimePoint end = Clock::now() + std::chrono::seconds(3);
+  while (written < body.size() && Clock::now() < end) {
+    written +=
+      m_exchange->CallerWrite(body.data() + written, body.size() - written);
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  std::this_thread::sleep_for(Milliseconds(500));
+  CHECK(arrived == body.size());
+  m_io->Cancel(2);
+  reader.join();
+}
+
 } // namespace
 } // namespace sapphirelane
