Keep a connection to an endpoint until the write on it has ended

What callers saw: nothing that was traced to it.

Cause: the read's handler held the connection, the write's did not. Where an endpoint answers early, such as with 429, while its socket takes a part of a block only, the attempt ends and frees the connection before the write's next part, which then goes to a socket that is gone: a crash, or bytes of a body in whatever stands in that memory now.

Change: the write's handler holds the connection, as the read's does.

--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -11,6 +11,33 @@
 #include "sapphirelane/base/bounded_ring.h"
 #include "sapphirelane/proxy/loopback.h"
 
+namespace {
+
+/// Blocks of 16 KB that are sent until one is taken in part; 0 for none.
+std::atomic<int> g_blocksUntilPart{ 0 };
+std::atomic<bool> g_answered{ false };
+
+} // namespace
+
+/// Takes the place of the system's, to take a part of one write.
+extern "C" ssize_t
+send(int aSocket, const void* aBytes, std::size_t aSize, int aFlags)
+{
+  constexpr std::size_t kBlockBytes = 16384;
+  if (aSize == kBlockBytes && g_blocksUntilPart > 0) {
+    const int left = --g_blocksUntilPart;
+    if (left == 0) {
+      return sendto(aSocket, aBytes, aSize / 2, aFlags, nullptr, 0);
+    }
+    const ssize_t sent = sendto(aSocket, aBytes, aSize, aFlags, nullptr, 0);
+    while (left == 1 && !g_answered) {
+      std::this_thread::yield();
+    }
+    return sent;
+  }
+  return sendto(aSocket, aBytes, aSize, aFlags, nullptr, 0);
+}
+
 namespace sapphirelane {
 namespace {
 
@@ -676,5 +703,38 @@
   reader.join();
 }
 
+/// An endpoint answers just before its socket takes a part of a write only, as
+/// a full one does.
+///
+/// Guards against a write that goes on in a connection that is gone. Shows only
+/// with -fsanitize=address.
+TEST_CASE_METHOD(SlowUploadFixture,
+                 "UpstreamClient, answer comes before a part of a write is "
+                 "taken, does not write on in freed memory")
+{
+  const std::string body(1U << 20U, 'x');
+  m_exchange = std::make_shared<Exchange>(RequestHead{}, body.size());
+  m_exchange->SetPort(std::make_unique<NullCallerPort>());
+  m_exchange->CallerWrite(body.data(), body.size());
+  m_exchange->CallerFinish();
+  AttemptOrder params = MakeUpload(1);
+  params.exchange = m_exchange;
+  params.length = body.size();
+  g_blocksUntilPart = 10;
+  m_io->Start(params);
+  RawConnection endpoint = m_listener.Accept();
+  while (g_blocksUntilPart > 1) {
+    std::this_thread::yield();
+  }
+  endpoint.Write("HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n");
+  g_answered = true;
+  AttemptEvent event = NextEvent();
+  while (event.kind != AttemptEvent::Kind::End) {
+    event = NextEvent();
+  }
+  m_io->Cancel(1);
+  std::this_thread::sleep_for(Milliseconds(200)); // The write's result follows.
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -274,12 +274,12 @@
     return;
   }
   m_writing = true;
+  // The write refers to the socket between its parts, even after Finish().
   asio::async_write(
     m_connection->socket,
     asio::buffer(m_output),
-    [self = shared_from_this()](const Error& aError, std::size_t /*aSize*/) {
-      self->OnWritten(aError);
-    });
+    [self = shared_from_this(), connection = m_connection](
+      const Error& aError, std::size_t /*aSize*/) { self->OnWritten(aError); });
 }
 
 /// Appends available bytes of the request body to the output.
