Let the upstream client's test fixture hold its thread without a virtual function

The client's thread called a virtual function while the destructors of the fixture ran: a data race that the thread sanitizer reports (found by review, exit code 66). The base fixture now knows the holding attempt itself; the tests are unchanged.

--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -63,21 +63,21 @@
   {
   }
 
-  virtual ~UpstreamClientFixture() { StopClient(); }
-
-  /// Ends the client's thread; for destructors of fixtures that override
-  /// OnEvent.
-  void StopClient()
+  ~UpstreamClientFixture()
   {
-    if (m_thread.joinable()) {
-      m_io->Stop();
-      m_thread.join();
-    }
+    m_io->Stop();
+    m_thread.join();
   }
 
-  /// Called on the client's thread.
-  virtual void OnEvent(const AttemptEvent& aEvent)
+  /// Called on the client's thread; waits there for the end of a holding
+  /// attempt to be released.
+  void OnEvent(const AttemptEvent& aEvent)
   {
+    if (aEvent.id == kHoldingAttempt) {
+      m_held.set_value();
+      m_release.get_future().wait();
+      return;
+    }
     m_events.PushWaiting(aEvent);
   }
 
@@ -147,6 +147,10 @@
     }
   }
 
+  static constexpr std::uint64_t kHoldingAttempt = 1000;
+
+  std::promise<void> m_held;
+  std::promise<void> m_release;
   RawListener m_listener;
   std::string m_address = m_listener.Address();
   BoundedRing<AttemptEvent> m_events;
@@ -377,35 +381,18 @@
 class SlowUploadFixture : public UpstreamClientFixture
 {
 protected:
-  ~SlowUploadFixture() override { StopClient(); }
-
   /// Makes the next events wait on the client's thread until it is released.
   ///
   /// An attempt without a usable address ends at once, on that thread.
   void HoldClient()
   {
-    m_holding = true;
     AttemptOrder params = MakeUpload(kHoldingAttempt);
     params.address = "nowhere";
     m_io->Start(params);
     m_held.get_future().wait();
   }
 
-  void ReleaseClient()
-  {
-    m_holding = false;
-    m_release.set_value();
-  }
-
-  void OnEvent(const AttemptEvent& aEvent) override
-  {
-    if (m_holding && aEvent.id == kHoldingAttempt) {
-      m_held.set_value();
-      m_release.get_future().wait();
-      return;
-    }
-    UpstreamClientFixture::OnEvent(aEvent);
-  }
+  void ReleaseClient() { m_release.set_value(); }
 
   /// Starts to send a body in chunks, of which the first part has arrived.
   /// @return The connection, of which the endpoint has read that part.
@@ -449,13 +436,6 @@
     params.give_up = farFuture;
     return params;
   }
-
-private:
-  static constexpr std::uint64_t kHoldingAttempt = 1000;
-
-  std::atomic<bool> m_holding{ false };
-  std::promise<void> m_held;
-  std::promise<void> m_release;
 };
 
 /// Guards against a body that is cut by a refusal and looks whole.
