Count a request as sent once a write of it begins, not before its body is read

What callers saw: where the caller had broken its body off before an attempt wrote a byte, 502 with an unknown outcome in place of 'not run'; a run-once request was closed as unknown, so its repeats got 409. Found by review; it erred on the safe side.

Cause: the attempt took itself for sent before it read the body, and then wrote nothing.

Change: it counts as sent when the write begins. Test: 'caller has broken its body off before the attempt starts' failed before.

--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -716,5 +716,22 @@
   std::this_thread::sleep_for(Milliseconds(200)); // The write's result follows.
 }
 
+/// Guards against a request of which nobody can tell whether it ran, though not
+/// a byte of it was sent.
+TEST_CASE_METHOD(SlowUploadFixture,
+                 "UpstreamClient, caller has broken its body off before the "
+                 "attempt starts, reports that nothing was sent")
+{
+  AttemptOrder params = MakeUpload(1);
+  params.exchange->CallerWrite("some", 4);
+  params.exchange->CallerBreak();
+  m_io->Start(params);
+  RawConnection endpoint = m_listener.Accept();
+  CHECK(endpoint.ReadUntil("never").empty());
+  const AttemptEvent end = NextEvent();
+  CHECK_FALSE(end.whole);
+  CHECK_FALSE(end.sent);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -219,7 +219,6 @@
   m_output = FormatRequestHead(aNow);
   m_requestComplete = !m_attempt.has_body;
   m_connection->sent_requests.insert(StableHash(m_attempt.echo));
-  m_maybeSent = true;
   WriteOutput();
   Read();
 }
@@ -274,6 +273,7 @@
     return;
   }
   m_writing = true;
+  m_maybeSent = true;
   // The write refers to the socket between its parts, even after Finish().
   asio::async_write(
     m_connection->socket,
