Close a connection whose request's body goes bad after its answer

What callers saw: after an early answer, a body that is malformed or grows above the limit left the connection neither read nor closed until the idle timeout; further requests on it were discarded. Found by review.

Cause: the session marked the request to close the connection behind its answer, but the answer had been written and the request had left the pipeline.

Change: StopReceiving, for both cases, closes at once then. It also breaks the body off after the refusal, so that no answer of the dispatcher to the broken body overtakes the 400.

Test: 'body turns out malformed after the answer was written' failed before; the limit is by reading.

--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -326,10 +326,7 @@
       *m_receiving->exchange,
       { 413, Outcome::Unknown, "too-large", "the body grew above the limit" },
       m_context.dialect);
-    m_receiving->exchange->CallerBreak();
-    m_receiving->closes_connection = true;
-    m_inputEnded = true;
-    m_receiving.reset();
+    StopReceiving();
     return false;
   }
   return ForwardRequestBody() && (used > 0 || m_parser->is_done());
@@ -361,13 +358,23 @@
 void
 CallerSession::RejectBody(const std::string& aDetail)
 {
-  m_receiving->exchange->CallerBreak();
-  m_receiving->closes_connection = true;
-  m_inputEnded = true;
   Refuse(*m_receiving->exchange,
          { 400, Outcome::Unknown, "malformed", aDetail },
          m_context.dialect);
+  StopReceiving();
+}
+
+void
+CallerSession::StopReceiving()
+{
+  m_receiving->exchange->CallerBreak();
+  m_receiving->closes_connection = true;
+  m_inputEnded = true;
+  const bool answered = m_pipeline.empty() || m_pipeline.back() != m_receiving;
   m_receiving.reset();
+  if (answered) {
+    ShutdownGracefully();
+  }
 }
 
 void
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -97,6 +97,10 @@
   /// connection.
   void RejectBody(const std::string& aDetail);
 
+  /// Breaks the body off that is being read, and closes the connection behind
+  /// its request's answer, which may have been written already.
+  void StopReceiving();
+
   /// Answers malformed input with an error and closes the connection.
   void RejectInput(int aStatus, const std::string& aDetail);
   PipelinedRequestPtr AddToPipeline(RequestHead aHead);
--- a/src/sapphirelane/proxy/caller_session_test.cpp
+++ b/src/sapphirelane/proxy/caller_session_test.cpp
@@ -196,5 +196,25 @@
   }
 }
 
+/// Guards against a connection that is neither read nor closed: the answer of
+/// the request whose body is refused has been written before.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, body turns out malformed after the answer was "
+                 "written, closes the connection")
+{
+  m_caller.Write("POST /up HTTP/1.1\r\nHost: a\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n");
+  ReadUntil(1);
+  AnswerLast(); // Before the end of the body.
+  m_caller.Write("no chunk\r\n\r\n");
+  const TimePoint end = Clock::now() + std::chrono::seconds(3);
+  while (Clock::now() < end) {
+    m_io.run_one_for(std::chrono::milliseconds(50));
+  }
+  CHECK(m_context.unfinished_requests == 0);
+  m_caller.ReadUntil("own");
+  CHECK(m_caller.IsClosed());
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/loopback.h
+++ b/src/sapphirelane/proxy/loopback.h
@@ -57,6 +57,13 @@
     return result;
   }
 
+  /// @return Whether the other side has closed its sending side by now.
+  bool IsClosed() const
+  {
+    char byte = 0;
+    return recv(m_socket.Get(), &byte, 1, MSG_DONTWAIT | MSG_PEEK) == 0;
+  }
+
 private:
   Socket m_socket;
   std::string m_received;
