--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -669,7 +669,7 @@
       ++arrived;
     }
   });
-  const std::string body(3 * 65536, 'x');
+  const std::string body(3U * 65536U, 'x');
   std::size_t written = 0;
   const TimePoint end = Clock::now() + std::chrono::seconds(3);
   while (written < body.size() && Clock::now() < end) {
