Tell pipelining callers in time that a planned stop closes their connection

What callers saw: a caller that always has one more request outstanding is not told 'Connection: close' after SIGTERM.

Cause: AppendResponseHead announced the close only on a response behind which no other request waits, while ParseHead went on taking requests. Where the next one always comes before the response, that moment does not come.

Change: once the listener stops, a session reads no request behind one whose response can still announce the close; what waits in its input counts as not read. The last of those that were passed on closes the connection. If the only response has its head written, one more request is passed on. A response before the end of its request's body announces the close too, and the connection closes after the body, as a caller may read only then. A head that is incomplete behind a pending request gets no 408 any more.

Tests: the nine added ones (eight [stop] of CallerSession, one of CallerListener) failed before. RawConnection sets TCP_NODELAY: with Nagle's algorithm a second write could arrive later than the fixture says, and one of the nine passed without the fix. All of the module pass without [schedules] and [large].

--- a/include/sapphirelane/proxy/caller_front.h
+++ b/include/sapphirelane/proxy/caller_front.h
@@ -18,9 +18,10 @@
 public:
   virtual ~CallerFront() = default;
 
-  /// @brief Closes each connection after its pending responses.
+  /// @brief Closes each connection after its pending responses, and reads no
+  /// request behind them.
   ///
-  /// New connections are still accepted.
+  /// New connections are still accepted, for one request each.
   virtual void CloseAfterAnswers() = 0;
 
   /// @brief Accepts no new connections, and closes those without a pending
--- a/src/sapphirelane/proxy/caller_front_test.cpp
+++ b/src/sapphirelane/proxy/caller_front_test.cpp
@@ -204,6 +204,24 @@
   CHECK(caller.ReadUntil("two").find("Connection: close") != std::string::npos);
 }
 
+/// Guards against new connections that outlive a planned stop, while they are
+/// still accepted until the load balancer has noticed.
+TEST_CASE_METHOD(ListenerFixture,
+                 "CallerListener, shutting down, passes on one request of a "
+                 "new connection and closes with its answer")
+{
+  m_listener->CloseAfterAnswers();
+  RawConnection caller = RawConnection::Connect(m_address);
+  caller.Write(Get("/1") + Get("/2"));
+  const ExchangePtr first = TakeRequest();
+  CHECK(first->Head().target == "/1");
+  CHECK(m_listener->Open() == 1);
+  Answer(first, "one");
+  CHECK(caller.ReadUntil("one").find("Connection: close") != std::string::npos);
+  CHECK(caller.ReadUntil("never").empty());
+  CHECK_FALSE(m_requests.TakeOne(Duration(0)));
+}
+
 TEST_CASE_METHOD(ListenerFixture,
                  "CallerListener, body above the limit, is answered 413")
 {
--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -93,6 +93,7 @@
   if (m_context.close_idle) {
     CloseIfIdle(aNow);
   }
+  EndInputIfStopping();
   const SessionLimits& limits = m_context.limits;
   if (m_headIncomplete && aNow - m_headStarted > limits.head_timeout) {
     RejectInput(408, "the head did not come in time");
@@ -196,6 +197,9 @@
 bool
 CallerSession::ParseHead()
 {
+  if (EndInputIfStopping()) {
+    return false;
+  }
   if (m_input.Size() == 0 || m_pipeline.size() >= kMaxPipelinedRequests) {
     m_headIncomplete = false;
     return false;
@@ -233,6 +237,22 @@
   return m_open;
 }
 
+bool
+CallerSession::EndInputIfStopping()
+{
+  // A response whose head is written cannot announce the close any more; the
+  // next request's can.
+  const bool announces =
+    !m_pipeline.empty() && !m_pipeline.back()->head_written && !m_receiving;
+  if (!m_context.close_after_response || !announces) {
+    return false;
+  }
+  m_inputEnded = true;
+  m_headIncomplete = false;
+  m_input.Clear();
+  return true;
+}
+
 void
 CallerSession::BeginRequest()
 {
@@ -353,9 +373,13 @@
 CallerSession::FinishRequestBody()
 {
   m_receiving->exchange->CallerFinish();
-  m_inputEnded = m_inputEnded || m_receiving->closes_connection;
+  const bool closesConnection = m_receiving->closes_connection;
+  m_inputEnded = m_inputEnded || closesConnection;
   m_receiving.reset();
   m_parser.reset();
+  if (closesConnection && m_pipeline.empty()) {
+    ShutdownGracefully(); // The response was written before.
+  }
 }
 
 void
@@ -450,14 +474,13 @@
 CallerSession::AppendResponseHead(PipelinedRequest& aRequest,
                                   const ResponseHead& aHead)
 {
-  aRequest.head_written = true;
-  // Only the last pipelined response closes the connection, so that requests
-  // that were already read still get theirs.
-  const bool lastResponse = m_pipeline.size() == 1 && !m_receiving;
-  if (m_context.close_after_response && lastResponse) {
+  // Only the last of the requests that were passed on closes the connection, so
+  // that the others still get their response.
+  if (m_context.close_after_response && m_pipeline.size() == 1) {
     aRequest.closes_connection = true;
-    m_inputEnded = true;
+    EndInputIfStopping();
   }
+  aRequest.head_written = true;
   absl::StrAppend(&m_output,
                   "HTTP/1.1 ",
                   aHead.status,
@@ -524,7 +547,9 @@
   m_pipeline.pop_front();
   request->exchange->CallerLeave();
   --m_context.unfinished_requests;
-  if (request->closes_connection) {
+  // A caller may read the response only when it has sent all of the body.
+  const bool takesRest = m_context.close_after_response && m_receiving;
+  if (request->closes_connection && !takesRest) {
     ShutdownGracefully();
     return;
   }
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -89,6 +89,11 @@
   void ParseInput();
   bool ParseHead();
   bool ParseBody();
+
+  /// Reads no further request once the listener stops and the response to one
+  /// that was passed on can announce the close.
+  /// @return True if the input has ended.
+  bool EndInputIfStopping();
   void BeginRequest();
   bool ForwardRequestBody();
   void FinishRequestBody();
--- a/src/sapphirelane/proxy/caller_session_test.cpp
+++ b/src/sapphirelane/proxy/caller_session_test.cpp
@@ -59,6 +59,26 @@
     }
   }
 
+  /// Answers a request and lets the session write until a number is unfinished.
+  void Answer(std::size_t aRequest, std::size_t aUnfinished)
+  {
+    m_requests[aRequest]->AnswerWhole({ 200, {}, std::nullopt }, "own");
+    while (m_context.unfinished_requests > aUnfinished) {
+      RunOne();
+    }
+  }
+
+  /// @return Whether the next answer that the caller gets announces the close.
+  bool NextAnswerCloses()
+  {
+    const std::string answer = m_caller.ReadUntil("own");
+    REQUIRE(answer.find(" 200 ") != std::string::npos);
+    return answer.find("Connection: close") != std::string::npos;
+  }
+
+  /// Lets the session read all that has arrived.
+  void ReadAll() { m_io.poll(); }
+
   /// Reads bytes of the last request's body as an attempt does, and lets the
   /// session go on meanwhile.
   std::string ReadBody(std::size_t aSize)
@@ -196,5 +216,180 @@
   }
 }
 
+/// Guards against a caller that is never told to leave, as it always has one
+/// more request outstanding, and is cut off at the end of a planned stop.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, listener stops and a caller always has one "
+                 "more request outstanding, passes on none of them and closes "
+                 "with the last answer",
+                 "[stop]")
+{
+  Send("/1");
+  Send("/2");
+  ReadUntil(2);
+  m_context.close_after_response = true;
+  Send("/3");
+  ReadAll();
+  CHECK(m_requests.size() == 2);
+  Answer(0, 1);
+  CHECK_FALSE(NextAnswerCloses());
+  Send("/4");
+  ReadAll();
+  CHECK(m_requests.size() == 2);
+  Answer(1, m_requests.size() - 2);
+  CHECK(NextAnswerCloses());
+  CHECK(m_caller.ReadUntil("never").empty());
+}
+
+/// Guards against the same on a connection without a pending request.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, listener stops and an idle caller sends two "
+                 "requests, passes on the first and closes with its answer",
+                 "[stop]")
+{
+  m_context.close_after_response = true;
+  Send("/1");
+  Send("/2");
+  ReadUntil(1);
+  ReadAll();
+  REQUIRE(m_requests.size() == 1);
+  Answer(0, 0);
+  CHECK(NextAnswerCloses());
+  CHECK(m_caller.ReadUntil("never").empty());
+}
+
+/// Guards against requests that take the places of answered ones.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, listener stops while the pipeline is full, "
+                 "closes with the last answer of those passed on",
+                 "[stop]")
+{
+  constexpr std::size_t kPipelined = 32;
+  for (std::size_t sent = 0; sent < kPipelined + 8; ++sent) {
+    Send("/" + std::to_string(sent));
+  }
+  ReadUntil(kPipelined);
+  m_context.close_after_response = true;
+  for (std::size_t i = 0; i < kPipelined; ++i) {
+    Answer(i, kPipelined - 1 - i);
+    CHECK(NextAnswerCloses() == (i + 1 == kPipelined));
+  }
+  CHECK(m_requests.size() == kPipelined);
+  CHECK(m_caller.ReadUntil("never").empty());
+}
+
+/// Guards against a body that is cut short because no request is read after it.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, listener stops while a body is received, "
+                 "receives all of it and closes with its answer",
+                 "[stop]")
+{
+  const std::string body = MakeText(3000);
+  m_caller.Write("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3000\r\n\r\n" +
+                 body.substr(0, 1000));
+  ReadUntil(1);
+  m_context.close_after_response = true;
+  m_session->CheckTimeouts(m_now);
+  m_caller.Write(body.substr(1000));
+  Send("/2");
+  CHECK(ReadBody(body.size()) == body);
+  ReadAll();
+  CHECK(m_requests.size() == 1);
+  CHECK(m_requests[0]->RequestProgress().complete);
+  Answer(0, 0);
+  CHECK(NextAnswerCloses());
+}
+
+/// Guards against an answer before the end of a body that leaves the caller on
+/// a connection that ends unannounced.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, listener stops and the answer comes before "
+                 "the end of a body, announces the close and closes after "
+                 "the body",
+                 "[stop]")
+{
+  m_caller.Write("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3000\r\n"
+                 "Expect: 100-continue\r\n\r\n");
+  ReadUntil(1);
+  m_context.close_after_response = true;
+  m_caller.Write(MakeText(1000));
+  ReadAll();
+  Answer(0, 0);
+  m_caller.ReadUntil("100 Continue\r\n\r\n");
+  CHECK(NextAnswerCloses());
+  m_session->CheckTimeouts(Clock::now() + std::chrono::minutes(1));
+  CHECK(m_session->IsOpen());
+  m_caller.Write(MakeText(2000));
+  Send("/2");
+  ReadAll();
+  CHECK(m_requests.size() == 1);
+  CHECK(m_caller.ReadUntil("never").empty());
+}
+
+/// Guards against a connection that is closed without a word, as the answer
+/// that is under way can no longer announce it.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, listener stops after the head of an answer "
+                 "was written, closes with the answer to the next request",
+                 "[stop]")
+{
+  Send("/1");
+  ReadUntil(1);
+  m_requests[0]->Answer({ 200, {}, std::nullopt });
+  m_requests[0]->UpstreamWrite("half", 4);
+  ReadAll();
+  CHECK(m_caller.ReadUntil("half").find("Connection: close") ==
+        std::string::npos);
+  m_context.close_after_response = true;
+  Send("/2");
+  Send("/3");
+  ReadUntil(2);
+  ReadAll();
+  REQUIRE(m_requests.size() == 2);
+  m_requests[0]->UpstreamFinish();
+  Answer(1, 0);
+  m_caller.ReadUntil("0\r\n\r\n");
+  CHECK(NextAnswerCloses());
+  CHECK(m_caller.ReadUntil("never").empty());
+}
+
+/// Guards against a 408 for a request that counts as not read.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, listener stops while the head of a request "
+                 "behind another is incomplete, does not reject it",
+                 "[stop]")
+{
+  Send("/1");
+  m_caller.Write("GET /2 HTTP/1.1\r\n");
+  ReadUntil(1);
+  ReadAll();
+  m_context.close_after_response = true;
+  m_session->CheckTimeouts(Clock::now() + std::chrono::minutes(1));
+  CHECK(m_context.unfinished_requests == 1);
+  Answer(0, 0);
+  CHECK(NextAnswerCloses());
+  CHECK(m_caller.ReadUntil("never").empty());
+}
+
+/// Guards against an answer without a body that does not announce the close.
+TEST_CASE_METHOD(CallerSessionFixture,
+                 "CallerSession, listener stops and a caller has pipelined "
+                 "HEAD requests, closes with the last answer",
+                 "[stop]")
+{
+  const std::string head = "HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n";
+  m_caller.Write(head + head);
+  ReadUntil(2);
+  m_context.close_after_response = true;
+  m_caller.Write(head);
+  ReadAll();
+  CHECK(m_requests.size() == 2);
+  Answer(0, 1);
+  CHECK(m_caller.ReadUntil("\r\n\r\n").find("close") == std::string::npos);
+  Answer(1, m_requests.size() - 2);
+  CHECK(m_caller.ReadUntil("\r\n\r\n").find("close") != std::string::npos);
+  CHECK(m_caller.ReadUntil("never").empty());
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/loopback.h
+++ b/src/sapphirelane/proxy/loopback.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_PROXY_LOOPBACK_H
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,6 +21,9 @@
     : m_socket(std::move(aSocket))
   {
     SetTransferTime(m_socket, Milliseconds(20000));
+    // What is written arrives at once, with earlier bytes acknowledged or not.
+    const int on = 1;
+    setsockopt(m_socket.Get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   }
 
   static RawConnection Connect(const std::string& aAddress)
