Pass on no request once a planned stop has counted none as open

A request that is passed on while the daemon leaves the fleet is cut off (LOST).

Cause: StopPlanned goes on when Open() returns 0, but connections with a part of a head, or not yet closed as idle, still read requests until the listener stops.

Evidence: by the test.

Change: an Open() that returns 0 after StopListening() closes all connections for further input in the same step, as those closed as idle are.

Test: "CallerListener, stops listening and nothing is open, passes on no request of which a part had come" failed before.

--- a/include/sapphirelane/proxy/caller_front.h
+++ b/include/sapphirelane/proxy/caller_front.h
@@ -34,8 +34,9 @@
   virtual void SetLimits(const CallerLimits& aLimits) = 0;
 
   /// @return Number of requests whose response is not completely written; not
-  /// to be called after Stop.
-  virtual std::size_t Open() const = 0;
+  /// to be called after Stop. After StopListening, no request is read any more
+  /// once this has returned 0.
+  virtual std::size_t Open() = 0;
 
   /// @brief Closes all connections and ends the listener's thread. The other
   /// members have no effect afterwards, and may still be called by threads that
--- a/src/sapphirelane/proxy/caller_front.cpp
+++ b/src/sapphirelane/proxy/caller_front.cpp
@@ -112,12 +112,17 @@
     });
   }
 
-  std::size_t Open() const override
+  std::size_t Open() override
   {
     // Only the listener's thread may read the count.
     std::promise<std::size_t> open;
-    asio::post(
-      m_io, [this, &open] { open.set_value(CountUnfinished(Clock::now())); });
+    asio::post(m_io, [this, &open] {
+      const std::size_t count = CountUnfinished(Clock::now());
+      if (count == 0 && m_context.close_idle) {
+        EndInput();
+      }
+      open.set_value(count);
+    });
     return open.get_future().get();
   }
 
@@ -211,6 +216,14 @@
     return count;
   }
 
+  /// Reads no further request; what comes now would be cut off.
+  void EndInput()
+  {
+    for (const auto& session : m_sessions) {
+      session->EndInput();
+    }
+  }
+
   void StopAccepting()
   {
     boost::system::error_code ignored;
@@ -240,7 +253,7 @@
   }
 
   CallerFrontOptions m_options;
-  mutable asio::io_context m_io{ 1 };
+  asio::io_context m_io{ 1 };
   tcp::acceptor m_acceptor;
   asio::steady_timer m_checkTimer;
   SessionContext m_context;
--- a/src/sapphirelane/proxy/caller_front_test.cpp
+++ b/src/sapphirelane/proxy/caller_front_test.cpp
@@ -372,5 +372,24 @@
   CHECK(m_listener->Open() == 0);
 }
 
+/// Guards against a request that is passed on while the daemon ends, as nothing
+/// was open before, and is cut off.
+TEST_CASE_METHOD(ListenerFixture,
+                 "CallerListener, stops listening and nothing is open, passes "
+                 "on no request of which a part had come")
+{
+  RawConnection caller = RawConnection::Connect(m_address);
+  caller.Write(Get("/1") + "GET /2 HTTP/1.1\r\n");
+  Answer(TakeRequest(), "one"); // The part is read with the first request.
+  caller.ReadUntil("one");
+  m_listener->StopListening();
+  while (m_listener->Open() > 0) {
+    std::this_thread::yield();
+  }
+  caller.Write("Host: a\r\n\r\n");
+  CHECK(caller.ReadUntil("never").empty());
+  CHECK_FALSE(m_requests.TakeOne(Duration(0)));
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -131,6 +131,15 @@
           aNow - m_startedAt < m_context.limits.first_request_timeout);
 }
 
+void
+CallerSession::EndInput()
+{
+  if (!m_lingering && m_pipeline.empty()) {
+    m_headIncomplete = false;
+    ShutdownGracefully();
+  }
+}
+
 void
 CallerSession::Abort()
 {
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -65,6 +65,10 @@
   /// first one of a new connection, or one whose bytes were not read yet.
   bool AwaitsRequest(TimePoint aNow) const;
 
+  /// @brief Closes the connection, on which no response is pending, and reads
+  /// no further request.
+  void EndInput();
+
   /// @brief Closes the connection at once, with any response incomplete.
   void Abort();
 
