--- a/include/sapphirelane/proxy/caller_front.h
+++ b/include/sapphirelane/proxy/caller_front.h
@@ -18,9 +18,10 @@
 public:
   virtual ~CallerFront() = default;
 
-  /// @brief Closes each connection after its pending responses.
+  /// @brief Closes each connection after its pending responses, and reads no
+  /// request behind them.
   ///
-  /// New connections are still accepted.
+  /// New connections are still accepted, for one request each.
   virtual void CloseAfterAnswers() = 0;
 
   /// @brief Accepts no new connections, and closes those without a pending
@@ -33,8 +34,9 @@
   virtual void SetLimits(const CallerLimits& aLimits) = 0;
 
   /// @return Number of requests whose response is not completely written; not
-  /// to be called after Stop.
-  virtual std::size_t Open() const = 0;
+  /// to be called after Stop. After StopListening, no request is read any more
+  /// once this has returned 0.
+  virtual std::size_t Open() = 0;
 
   /// @brief Closes all connections and ends the listener's thread. The other
   /// members have no effect afterwards, and may still be called by threads that
--- a/src/sapphirelane/proxy/caller_front_test.cpp
+++ b/src/sapphirelane/proxy/caller_front_test.cpp
@@ -204,6 +204,24 @@
   CHECK(caller.ReadUntil("two").find("Connection: close") != std::string::npos);
 }
 
+/// Guards against new connections that outlive a planned stop, while they are
+/// still accepted until the load balancer has noticed.
+TEST_CASE_METHOD(ListenerFixture,
+                 "CallerListener, shutting down, passes on one request of a "
+                 "new connection and closes with its answer")
+{
+  m_listener->CloseAfterAnswers();
+  RawConnection caller = RawConnection::Connect(m_address);
+  caller.Write(Get("/1") + Get("/2"));
+  const ExchangePtr first = TakeRequest();
+  CHECK(first->Head().target == "/1");
+  CHECK(m_listener->Open() == 1);
+  Answer(first, "one");
+  CHECK(caller.ReadUntil("one").find("Connection: close") != std::string::npos);
+  CHECK(caller.ReadUntil("never").empty());
+  CHECK_FALSE(m_requests.TakeOne(Duration(0)));
+}
+
 TEST_CASE_METHOD(ListenerFixture,
                  "CallerListener, body above the limit, is answered 413")
 {
@@ -354,5 +372,24 @@
   CHECK(m_listener->Open() == 0);
 }
 
+/// Guards against a request that is passed on while the daemon ends, as nothing
+/// was open before, and is cut off.
+TEST_CASE_METHOD(ListenerFixture,
+                 "CallerListener, stops listening and nothing is open, passes "
+                 "on no request of which a part had come")
+{
+  RawConnection caller = RawConnection::Connect(m_address);
+  caller.Write(Get("/1") + "GET /2 HTTP/1.1\r\n");
+  Answer(TakeRequest(), "one"); // The part is read with the first request.
+  caller.ReadUntil("one");
+  m_listener->StopListening();
+  while (m_listener->Open() > 0) {
+    std::this_thread::yield();
+  }
+  caller.Write("Host: a\r\n\r\n");
+  CHECK(caller.ReadUntil("never").empty());
+  CHECK_FALSE(m_requests.TakeOne(Duration(0)));
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/caller_session.h
+++ b/src/sapphirelane/proxy/caller_session.h
@@ -65,6 +65,10 @@
   /// first one of a new connection, or one whose bytes were not read yet.
   bool AwaitsRequest(TimePoint aNow) const;
 
+  /// @brief Closes the connection, on which no response is pending, and reads
+  /// no further request.
+  void EndInput();
+
   /// @brief Closes the connection at once, with any response incomplete.
   void Abort();
 
@@ -89,6 +93,11 @@
   void ParseInput();
   bool ParseHead();
   bool ParseBody();
+
+  /// Reads no further request once the listener stops and the response to one
+  /// that was passed on can announce the close.
+  /// @return True if the input has ended.
+  bool EndInputIfStopping();
   void BeginRequest();
   bool ForwardRequestBody();
   void FinishRequestBody();
