--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -34,12 +34,13 @@
         self.terms = []        # times of SIGTERM
         self.faults = []       # ends that nobody asked for
         self.settings = world.folder / f"{self.name}.yaml"
+        self.written = ""
 
     def write_settings(self, seeds):
         self.seeds = seeds
         terms = {"grace_s": GRACE_S, "retry_budget_ratio": 0.2,
                  "budget_slack": 56, "budget_window_s": 10}
-        self.settings.write_text(
+        text = (
             f"host: {self.name}\ndata_centre: {self.zone}\n"
             f"listen:\n  callers: {self.address}:{self.world.base}\n"
             f"  operators: {self.address}:{self.ready_port}\n"
@@ -55,6 +56,10 @@
             "policies:\n  balancer: expected-cost\n  ejector: spells\n"
             "  retry: fixed-attempts\n  dialect: platform\n"
             "  pool: 8\n  ahead: 4\n")
+        # To write a file again holds the soak up while the disk is busy.
+        if text != self.written:
+            self.settings.write_text(text)
+            self.written = text
 
     def start(self):
         self.write_settings(self.seeds)
