Soak: callers of chunked bodies that leave a frozen daemon

Cause: its callers sent bodies with a length only, at once, each waited 1.5 s beyond its limit, and few requests reached a daemon while it was frozen.

Change: - Callers send bodies of 20 to 60,000 bytes, also to the route that may not be repeated; of bodies 0.7 are chunked, most go out in pieces with pauses of up to 10 ms, some uploads take a fifth to three fifths of the limit. Every third caller leaves at its limit and closes its connection, every seventh pipelines up to four idempotent requests. - In one of three seeds a crowd of 60 callers with a route, an account and endpoints of its own calls one daemon, which is frozen three times for 2.4 s; they leave after 1 s. The other seeds have no such route. - Bodies are compared byte for byte for every run of an endpoint, however the request ended (the digest was compared for all runs before).

Random numbers: a seed did not fix its faults, as the schedule drew from the generator of the callers, who draw at times that are the machine's. The schedule and each caller now have generators of their own, so a seed's faults have changed once, and from now on new draws of callers don't change them.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -7,11 +7,18 @@
 import wire
 
 BEAT_S = 0.5          # between two writes of an endpoint
-QUEUE = 8             # requests that wait beyond the slots
 DEADLY_S = 0.01       # for which it works on a request that ends it
 LAPSE_BEATS = 3       # beats after which the entry of a silent one is removed
 
 
+@dataclasses.dataclass
+class Size:
+    """What an endpoint can do."""
+    slots: int = 2
+    queue: int = 8            # requests that wait beyond the slots
+    work_s: float = 0.03      # on average
+
+
 @dataclasses.dataclass
 class Run:
     """A request that an endpoint began to work on."""
@@ -21,10 +28,11 @@
     service: str
     method: str
     target: str
-    digest: str
+    body: bytes
     tenant: str
     left_ms: int
     key_seen: bool
+    answer: tuple = None      # (status, body) that the endpoint gave
 
 
 def receipt(request, endpoint):
@@ -40,15 +48,15 @@
 class Endpoint:
     """One endpoint: slots, a queue, an entry in the store, and faults."""
 
-    def __init__(self, world, name, service, zone, port, slots=2):
+    def __init__(self, world, name, service, zone, port, size):
         self.world = world
         self.name = name
         self.service = service
         self.zone = zone
         self.port = port        # where it listens
         self.public = port      # what its entry says: a fault link before it
-        self.slots = asyncio.Semaphore(slots)
-        self.slot_count = slots
+        self.slots = asyncio.Semaphore(size.slots)
+        self.size = size
         self.waiting = 0
         self.state = "ready"
         self.left_at = None     # when the store took its leaving in
@@ -82,7 +90,7 @@
     def entry(self):
         return {"service": self.service, "zone": self.zone,
                 "address": f"127.0.0.1:{self.public}", "version": "v1",
-                "slots": self.slot_count, "state": self.state,
+                "slots": self.size.slots, "state": self.state,
                 "cold_remaining_s": 0, "sequence": self.sequence,
                 "born": self.born}
 
@@ -129,7 +137,7 @@
         expected = headers.get("x-sapphirelane-expected-instance", self.name)
         if expected != self.name:
             return self.not_run(421, name)
-        if self.waiting >= QUEUE:
+        if self.waiting >= self.size.queue:
             return self.not_run(503, name)
         left = int(headers.get("x-sapphirelane-deadline-ms", "0"))
         until = time.monotonic() + left / 1000
@@ -141,29 +149,34 @@
         try:
             if time.monotonic() >= until:
                 return self.not_run(503, name)
-            self.note(request, name, left)
+            run = self.note(request, name, left)
             if self.alive and self.world.is_deadly(request.target):
                 await asyncio.sleep(DEADLY_S)
                 self.ending = asyncio.create_task(self.end_by_request())
                 return None
-            return await self.work(name, writer, until)
+            answer = await self.work(name, writer, until)
+            if answer is not None:
+                run.answer = (answer.status, answer.body)
+            return answer
         finally:
             self.slots.release()
 
     def note(self, request, name, left):
         headers = request.headers
-        self.world.runs.append(Run(
+        run = Run(
             name, time.monotonic(), self.name, self.service, request.method,
-            request.target, hashlib.sha256(request.body).hexdigest(),
+            request.target, request.body,
             headers.get("x-sapphirelane-tenant-id", ""), left,
-            "x-sapphirelane-credential" in headers))
+            "x-sapphirelane-credential" in headers)
+        self.world.runs.append(run)
+        return run
 
     async def work(self, name, writer, until):
         met = self.fault and self.world.random.random() < self.share
         if met and self.fault == "hang":
             await asyncio.sleep(max(0, until - time.monotonic()))
-            return wire.Answer(504, {"X-Sapphirelane-Request-Id": name}, b"")
-        seconds = self.world.random.expovariate(1 / self.world.work_s)
+            return wire.Answer(504, self.headers(name), b"")
+        seconds = self.world.random.expovariate(1 / self.size.work_s)
         await asyncio.sleep(seconds * (6 if met and self.fault == "slow" else 1))
         if met and self.fault == "reset":
             writer.transport.abort()
@@ -171,17 +184,21 @@
         if met and self.fault == "lost":
             return None
         if met and self.fault == "errors":
-            return wire.Answer(500, {"X-Sapphirelane-Request-Id": name}, b"no")
+            return wire.Answer(500, self.headers(name), b"no")
         if met and self.fault == "extra":
             asyncio.get_running_loop().call_later(0.004, self.again, name, writer)
         return self.good(name)
 
+    def headers(self, name):
+        return {"X-Sapphirelane-Request-Id": name,
+                "X-Soak-Endpoint": self.name}
+
     def good(self, name):
         return wire.Answer(200, {
-            "X-Sapphirelane-Request-Id": name,
+            **self.headers(name),
             "X-Sapphirelane-Response-Signature": receipt(name, self.name),
             "X-Sapphirelane-Server-Load":
-                f"1,{self.waiting},{self.slot_count}"}, body_of(name))
+                f"1,{self.waiting},{self.size.slots}"}, body_of(name))
 
     def again(self, name, writer):
         """A second answer to a request that has had its own."""
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -48,10 +48,13 @@
         if attempt is None:
             self.note("own request", f"{where}: no caller sent it")
             return
-        same = (run.method, run.target, run.digest) == \
-            (attempt.method, attempt.target, attempt.digest)
-        if not same:
-            self.note("own request", f"{where}: method, path or body differ")
+        if (run.method, run.target) != (attempt.method, attempt.target):
+            self.note("own request", f"{where}: method or path differ")
+        if run.body != attempt.body:
+            self.note("own request", f"{where}: body of {len(run.body)} bytes, "
+                      f"{len(attempt.body)} were sent by {attempt.daemon}, "
+                      f"{'chunked' if attempt.sending.chunked else 'length'}: "
+                      f"{attempt.status} {attempt.error}")
         if run.tenant != attempt.tenant:
             self.note("account", f"{where}: ran for {run.tenant}, key of "
                       f"{attempt.tenant}")
@@ -99,13 +102,23 @@
         if attempt.status in PROMISES and runs and not attempt.idempotent:
             self.note("not run", f"{attempt.request} got {attempt.status} "
                       f"and ran on {runs[0].endpoint}")
-        if 200 <= attempt.status < 300:
+        if attempt.status != 0:
             self.check_answer(attempt, runs)
         self.check_time(attempt)
         self.check_cut(attempt, runs)
 
     def check_answer(self, attempt, runs):
+        """An answer is what an endpoint gave that ran the request."""
         headers = attempt.answer.headers
+        endpoint = headers.get("x-soak-endpoint")
+        given = [run.answer for run in runs if run.endpoint == endpoint]
+        good = 200 <= attempt.status < 300
+        if (good or endpoint is not None) and \
+                (attempt.status, attempt.answer.body) not in given:
+            self.note("own answer", f"{attempt.request} got a "
+                      f"{attempt.status} that {endpoint} did not give")
+        if not good:
+            return
         signed = headers.get("x-sapphirelane-response-signature")
         right = {receipt(attempt.request, run.endpoint) for run in runs}
         if signed not in right or \
@@ -124,7 +137,7 @@
 
     def check_cut(self, attempt, runs):
         """A planned stop cuts off no request that an endpoint has."""
-        if attempt.status != 0 or not runs:
+        if attempt.status != 0 or attempt.left or not runs:
             return
         daemon = self.world.daemon(attempt.daemon)
         stops = [at for at in daemon.terms
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -1,13 +1,19 @@
 """Faults drawn from the seed; they come in series and overlap."""
 import asyncio
+import random
 import time
 
+from callers import Caller, Habits
 from world import Route
 
 FAULTS_PER_S = 0.9    # faults begun a second, each lasting up to three
 DEADLY_SEEDS = 3      # one in so many seeds has a deadly request
 DEADLY_S = 5.0        # for which its caller returns
 DEADLY_PAUSE_S = 0.4  # until it does
+FREEZE_S = 2.4        # longer than the limit of the crowd
+FREEZE_TIMES = (0.5, 3.4, 6.3)
+CROWD = 60
+CROWD_RATE = 3.0      # requests a second of each caller
 
 
 class Schedule:
@@ -15,7 +21,8 @@
 
     def __init__(self, world):
         self.world = world
-        self.random = world.random
+        # Of its own, as callers draw at times that are the machine's.
+        self.random = random.Random(world.seed)
         self.log = []
         self.begin = 0.0
 
@@ -54,6 +61,25 @@
             await asyncio.sleep(DEADLY_PAUSE_S)
         caller.leave()
 
+    async def frozen_crowd(self, begin):
+        """Callers of one daemon leave at their limits while it is frozen.
+        Draws nothing from the other faults."""
+        if not self.world.crowded:
+            return
+        daemon = random.Random(f"{self.world.seed} frozen").choice(
+            self.world.daemons)
+        habits = Habits(patience_s=0.0, home=daemon, route="cue",
+                        limits_s=(1.0,), reuses=False)
+        until = begin + FREEZE_TIMES[-1] + FREEZE_S + 1.0
+        crowd = [asyncio.create_task(
+            Caller(self.world, 1000 + i, "crowd", CROWD_RATE, habits).run(
+                until)) for i in range(CROWD)]
+        for at in FREEZE_TIMES:
+            await asyncio.sleep(max(0, begin + at - time.monotonic()))
+            self.note(f"a crowd of {daemon.name}, frozen {FREEZE_S} s")
+            await daemon.pause(FREEZE_S)
+        await asyncio.gather(*crowd)
+
     def some_daemons(self):
         most = max(1, len(self.world.daemons) // 2)
         return self.random.sample(self.world.daemons,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,8 +3,9 @@
 
     tests/soak/soak.py --seeds 1-50 --jobs 4
     tests/soak/soak.py --seeds 7 --keep /tmp/soak-7
+    tests/soak/soak.py --seeds 118 --program OTHER/bin/sapphirelane-entry
 
-A seed fixes the schedule and the callers' choices; the timing of processes is
+A seed fixes the faults and each caller's choices; the timing of processes is
 the machine's, so a seed may break a promise once and hold it the next time.
 """
 import argparse
@@ -39,7 +40,8 @@
     """@return True if every promise held."""
     folder = arguments.keep or tempfile.mkdtemp(prefix=f"soak-{seed}-")
     pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
-    world = World(seed, folder, PROGRAM, arguments.daemons, arguments.slot)
+    world = World(seed, folder, arguments.program, arguments.daemons,
+                  arguments.slot)
     schedule = Schedule(world)
     try:
         await world.start()
@@ -76,7 +78,8 @@
             running[slot] = (seed, subprocess.Popen(
                 [sys.executable, __file__, "--seeds", str(seed), "--slot",
                  str(slot), "--daemons", str(arguments.daemons), "--seconds",
-                 str(arguments.seconds), "--callers", str(arguments.callers)]))
+                 str(arguments.seconds), "--callers", str(arguments.callers),
+                 "--program", str(arguments.program)]))
         for slot, (seed, child) in list(running.items()):
             try:
                 if child.wait(0.05) != 0:
@@ -97,6 +100,7 @@
     parser.add_argument("--callers", type=int, default=15)
     parser.add_argument("--jobs", type=int, default=1, help="seeds at a time")
     parser.add_argument("--slot", type=int, default=0, help="range of ports")
+    parser.add_argument("--program", default=PROGRAM, help="the daemon to run")
     parser.add_argument("--keep", help="folder for settings and logs")
     arguments = parser.parse_args()
     seeds = seeds_of(arguments.seeds)
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -98,14 +98,79 @@
         writer.close()
 
 
+@dataclasses.dataclass
+class Sending:
+    """How a body goes out."""
+    chunked: bool = False
+    pieces: list = None       # sizes; None: all at once
+    pauses: list = None       # seconds after each piece
+
+
+class Exchange:
+    """A request on its way and its answer, on a connection of a caller."""
+
+    def __init__(self, client, request, sending):
+        self.client = client
+        self.state = h11.Connection(h11.CLIENT)
+        fields = dict(request.headers)
+        if sending.chunked:
+            fields["Transfer-Encoding"] = "chunked"
+        elif request.body or request.method == "POST":
+            fields["Content-Length"] = str(len(request.body))
+        self.write(h11.Request(method=request.method, target=request.target,
+                               headers=list(fields.items())))
+        self.sender = None
+        if sending.pieces:
+            self.sender = asyncio.create_task(
+                self.send_pieces(request.body, sending))
+        else:
+            self.write(h11.Data(data=request.body))
+            self.write(h11.EndOfMessage())
+
+    def write(self, event):
+        self.client.writer.write(self.state.send(event) or b"")
+
+    async def send_pieces(self, body, sending):
+        at = 0
+        try:
+            for size, pause in zip(sending.pieces, sending.pauses):
+                self.write(h11.Data(data=body[at:at + size]))
+                at += size
+                await self.client.writer.drain()
+                await asyncio.sleep(pause)
+            self.write(h11.EndOfMessage())
+        except (OSError, h11.LocalProtocolError):
+            pass               # The answer, or the lack of one, tells.
+
+    async def answer(self):
+        """Answers come in the order of the requests of a connection."""
+        try:
+            if self.client.rest:
+                self.state.receive_data(self.client.rest)
+            event = await next_event(self.state, self.client.reader)
+            if not isinstance(event, h11.Response):
+                raise Broken("no answer")
+            answer = Answer(event.status_code, headers_of(event),
+                            await read_body(self.state, self.client.reader))
+            self.client.rest = self.state.trailing_data[0]
+            answer.closes = self.state.states != {h11.CLIENT: h11.DONE,
+                                                  h11.SERVER: h11.DONE}
+            return answer
+        finally:
+            self.end()
+
+    def end(self):
+        if self.sender is not None:
+            self.sender.cancel()
+
+
 class Client:
-    """One connection of a caller, which may carry several requests in turn."""
+    """One connection of a caller, which may carry several requests."""
 
     def __init__(self, reader, writer):
         self.reader = reader
         self.writer = writer
-        self.state = h11.Connection(h11.CLIENT)
-        self.used = False
+        self.rest = b""       # that was read beyond the last answer
 
     @classmethod
     async def connect(cls, address, port):
@@ -114,28 +179,12 @@
         except OSError as error:
             raise Broken(str(error)) from error
 
+    def begin(self, request, sending=Sending()):
+        """Sends a request, also behind others that have no answer yet."""
+        return Exchange(self, request, sending)
+
     async def call(self, method, target, headers, body=b""):
-        fields = dict(headers)
-        if body or method == "POST":
-            fields["Content-Length"] = str(len(body))
-        self.used = True
-        try:
-            self.writer.write(self.state.send(h11.Request(
-                method=method, target=target, headers=list(fields.items()))))
-            self.writer.write(self.state.send(h11.Data(data=body)))
-            self.writer.write(self.state.send(h11.EndOfMessage()) or b"")
-            await self.writer.drain()
-        except (OSError, h11.LocalProtocolError) as error:
-            raise Broken(str(error)) from error
-        event = await next_event(self.state, self.reader)
-        if not isinstance(event, h11.Response):
-            raise Broken("no answer")
-        answer = Answer(event.status_code, headers_of(event),
-                        await read_body(self.state, self.reader))
-        answer.closes = self.state.their_state is h11.MUST_CLOSE
-        if not answer.closes:
-            self.state.start_next_cycle()
-        return answer
+        return await self.begin(Request(method, target, headers, body)).answer()
 
     def close(self):
         self.writer.close()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,13 +6,14 @@
 import time
 
 import wire
-from callers import Caller
+from callers import Caller, Habits, habits_of
 from daemons import Daemon
-from endpoints import Endpoint
+from endpoints import Endpoint, Size
 from links import Link
 from store import Store
 
 PORTS = 400           # of one world
+CROWD_SEEDS = 3       # one in so many seeds has a crowd of callers
 LAG_S = 0.2           # of the soak's own loop, from which times prove nothing
 SETTLE_S = 3.0
 
@@ -39,7 +40,6 @@
         self.store_port = self.base + 3
         self.zones = ["dc-1", "dc-2", "dc-3"]
         self.host = "soak.example"
-        self.work_s = 0.03
         self.store = Store()
         self.store.random = self.random
         self.runs = []
@@ -52,6 +52,14 @@
         self.deadly_ends = 0
         self.rates = {"steady": (400, 400), "small": (30, 30),
                       "greedy": (15, 15)}
+        self.services = {"scripts": 4, "cues": 5, "voice": 4}
+        self.sizes = {}
+        self.crowded = seed % CROWD_SEEDS == 1
+        if self.crowded:
+            self.rates["crowd"] = (1000, 1000)
+            self.services["ledger"] = 3
+            # So that many requests are under way when a daemon freezes.
+            self.sizes["ledger"] = Size(slots=20, queue=40, work_s=0.3)
         self.keys = {name: [f"key-{name}-{i}" for i in range(3)]
                      for name in self.rates}
         self.withdrawn = {}          # key -> time
@@ -64,6 +72,8 @@
                 ("upload", "upload", "voice"), ("list", "idempotent", "voice")):
             self.set_route(Route(name, f"/{name}/", kind, service,
                                  kind == "upload"))
+        if self.crowded:
+            self.set_route(Route("cue", "/cue/", "non_idempotent", "ledger"))
         self.version = 0
         self.endpoints = []
         self.daemons = [Daemon(self, i + 1) for i in range(daemons)]
@@ -93,7 +103,7 @@
             for one in [*self.routes.values(), *self.idle_routes]]
         resources += [{"type": "services", "metadata": {"name": name}, "spec": {
             "health_path": "/health", "max_connections": 300}}
-            for name in ("scripts", "cues", "voice")]
+            for name in self.services]
         resources += [{"type": "tenants", "metadata": {"name": name}, "spec": {
             "api_keys": [key for key in keys if key not in self.withdrawn],
             "priority": 1, "rate_per_s": self.rates[name][0],
@@ -132,7 +142,8 @@
         number = len(self.endpoints)
         endpoint = Endpoint(self, f"i-{number:04d}", service,
                             self.zones[number % 3],
-                            port or self.base + 300 + number)
+                            port or self.base + 300 + number,
+                            self.sizes.get(service, Size()))
         self.endpoints.append(endpoint)
         await endpoint.start()
         endpoint.link = Link(self.base + 350 + number, endpoint.port)
@@ -179,7 +190,7 @@
             "127.0.0.1", self.store_port, reuse_address=True)
         self.servers = [server]
         self.write_config()
-        for service, count in (("scripts", 4), ("cues", 5), ("voice", 4)):
+        for service, count in self.services.items():
             for _ in range(count):
                 await self.add_endpoint(service)
         seeds = [f"{one.address}:{self.base + 2}" for one in self.daemons[:3]]
@@ -198,11 +209,13 @@
         self.end_at = self.calm_at + calm
         tenants = ["steady"] * 3 + ["small", "greedy"]
         work = [asyncio.create_task(
-            Caller(self, i, tenants[i % len(tenants)],
-                   6.0).run(self.end_at)) for i in range(callers)]
+            Caller(self, i, tenants[i % len(tenants)], 6.0,
+                   habits_of(i)).run(self.end_at)) for i in range(callers)]
         faults = asyncio.create_task(schedule.run(begin, seconds))
-        await asyncio.gather(*work, faults, schedule.deadly_request(
-            begin, Caller(self, callers, "steady", 0)))
+        await asyncio.gather(
+            *work, faults, schedule.frozen_crowd(begin),
+            schedule.deadly_request(
+                begin, Caller(self, callers, "steady", 0, Habits())))
 
     def close(self):
         for daemon in self.daemons:
