--- a/include/sapphirelane/proxy/upstream_io.h
+++ b/include/sapphirelane/proxy/upstream_io.h
@@ -63,7 +63,7 @@
   bool whole = false;           ///< With End: the response is complete.
   bool sent = true;             ///< With End: a byte may have been sent.
   /// With End: the attempt could not read the request's body any more, as the
-  /// caller broke it off, the request was answered, or its start is not held.
+  /// caller broke it off, the request was answered, or the bytes are not held.
   bool body_gone = false;
   SentBody sent_body = SentBody::Whole; ///< With End.
   bool kept = false; ///< With End: its connection went back to the pool.
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -265,7 +265,7 @@
     if (!FinishIfAnswered()) {
       m_bodyGone = true;
       m_reusable = false;
-      Finish(false, "the caller broke its body off");
+      Finish(false, "the body can no longer be read");
     }
     return;
   }
