--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -655,11 +655,12 @@
                  "UpstreamClient, first attempt of an upload stands still, "
                  "the second one gets all of the body")
 {
+  constexpr std::size_t kBodyBytes = 196608; // Three buffers.
   m_exchange = MakeUploadExchange();
   REQUIRE(m_exchange->AddAttempt([] {})); // Never reads.
   AttemptOrder params = MakeUpload(2);
   params.exchange = m_exchange;
-  params.length = 3 * 65536;
+  params.length = kBodyBytes;
   m_io->Start(params);
   RawConnection endpoint = m_listener.Accept();
   std::atomic<std::size_t> arrived{ 0 };
@@ -669,7 +670,7 @@
       ++arrived;
     }
   });
-  const std::string body(3U * 65536U, 'x');
+  const std::string body(kBodyBytes, 'x');
   std::size_t written = 0;
   const TimePoint end = Clock::now() + std::chrono::seconds(3);
   while (written < body.size() && Clock::now() < end) {
