Keep a response head in a test while its header is compared

The address sanitizer found a use after free in the test of: the header's text was read after the copy of the head had gone. The checks are the same.

--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -788,8 +788,8 @@
   const auto refused = Send("GET", "/read/1");
   REQUIRE(Status(refused) == 503);
   CHECK(Outcome(refused) == "not-run");
-  const std::string* retryAfter =
-    FindHeader(refused->CallerTakeHead()->headers, "Retry-After");
+  const auto head = refused->CallerTakeHead();
+  const std::string* retryAfter = FindHeader(head->headers, "Retry-After");
   REQUIRE(retryAfter != nullptr);
   CHECK(*retryAfter == "3"); // 2.5 s, in whole seconds.
   AdvanceTime(Milliseconds(2600));
