Fail attempts whose response is reset under an upload or has no HTTP status

Cause: after a reset, the write that is under way consumes the socket's error, so that the next read sees an end of stream. A response without a length then counted as complete. A status below 100 was taken for an interim response, so the attempt waited until its time limit; statuses above 599 and unrequested protocol switches were passed on, and interim responses were not bounded.

Ruled out: a response that ends with a plain close stays complete, as HTTP allows it.

Change: a failed write makes a response that ends with its connection incomplete.

--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -291,6 +291,79 @@
   CHECK(ReadResponseBody() == "all of it");
 }
 
+/// Guards against a message that is no HTTP response, such as one with status
+/// 000, which is forwarded or which holds the attempt until its time limit.
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, status is invalid, fails at once and reports "
+                 "no head",
+                 "[status]")
+{
+  for (const std::string status :
+       { "000", "001", "099", "600", "999", "20", "2000", "2x0", "-20", "" }) {
+    for (const char* framing : { "Content-Length: 3\r\n", "" }) {
+      INFO("status \"" << status << "\", framing " << framing);
+      Start(1, /*aBufferResponse=*/false);
+      RawConnection endpoint = m_listener.Accept();
+      endpoint.ReadUntil("\r\n\r\n");
+      endpoint.Write("HTTP/1.1 " + status + " Trouble\r\nId: 1\r\n" + framing +
+                     "\r\nbad");
+      const AttemptEvent end = NextEvent();
+      CHECK(end.kind == AttemptEvent::Kind::End);
+      CHECK_FALSE(end.whole);
+      CHECK(end.sent);
+      CHECK_FALSE(end.kept);
+    }
+  }
+}
+
+/// Guards against an endpoint that holds an attempt with interim responses.
+TEST_CASE_METHOD(
+  UpstreamClientFixture,
+  "UpstreamClient, interim responses without end, fails within a "
+  "bound",
+  "[status]")
+{
+  Start(1);
+  RawConnection endpoint = m_listener.Accept();
+  endpoint.ReadUntil("\r\n\r\n");
+  for (int i = 0; i < 100; ++i) {
+    endpoint.Write("HTTP/1.1 102 Processing\r\nId: 1\r\n\r\n");
+  }
+  const AttemptEvent end = NextEvent();
+  CHECK(end.kind == AttemptEvent::Kind::End);
+  CHECK_FALSE(end.whole);
+}
+
+/// Guards against an unrequested protocol switch that is taken for an interim
+/// response: what follows it is not HTTP.
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, endpoint switches protocols, fails",
+                 "[status]")
+{
+  Start(1);
+  RawConnection endpoint = m_listener.Accept();
+  endpoint.ReadUntil("\r\n\r\n");
+  endpoint.Write("HTTP/1.1 101 Switching Protocols\r\nId: 1\r\n\r\n" +
+                 FormatResponse("1", "one"));
+  const AttemptEvent end = NextEvent();
+  CHECK(end.kind == AttemptEvent::Kind::End);
+  CHECK_FALSE(end.whole);
+}
+
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, some interim responses, are skipped",
+                 "[status]")
+{
+  Start(1);
+  RawConnection endpoint = m_listener.Accept();
+  endpoint.ReadUntil("\r\n\r\n");
+  endpoint.Write("HTTP/1.1 100 Continue\r\n\r\n"
+                 "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" +
+                 FormatResponse("1", "one"));
+  CHECK(NextEvent().head.status == 200);
+  CHECK(NextEvent().whole);
+}
+
 TEST_CASE_METHOD(UpstreamClientFixture,
                  "UpstreamClient, connection refused, reports that nothing was "
                  "sent")
@@ -713,6 +786,37 @@
   std::this_thread::sleep_for(Milliseconds(200)); // The write's result follows.
 }
 
+/// Guards against a part of a response that looks complete. The failed write
+/// consumes the reset, so that the next read sees an end of the stream.
+TEST_CASE_METHOD(SlowUploadFixture,
+                 "UpstreamClient, response without a length is reset while the "
+                 "upload is written, is not complete",
+                 "[early]")
+{
+  const std::string body(8U << 20U, 'x');
+  m_exchange = std::make_shared<Exchange>(RequestHead{}, body.size());
+  m_exchange->SetPort(std::make_unique<NullCallerPort>());
+  m_exchange->CallerWrite(body.data(), body.size());
+  m_exchange->CallerFinish();
+  AttemptOrder params = MakeUpload(1);
+  params.exchange = m_exchange;
+  params.length = body.size();
+  m_io->Start(params);
+  {
+    // The endpoint reads nothing, so that the upload fills the socket buffers.
+    RawConnection endpoint = m_listener.Accept();
+    endpoint.Write("HTTP/1.1 200 OK\r\n\r\na part of the answer");
+    const AttemptEvent head = NextEvent();
+    CHECK(head.kind == AttemptEvent::Kind::Head);
+    CHECK(head.head.status == 200);
+    m_io->Accept(1);
+  } // Closed with bytes unread, so that the connection is reset.
+  const AttemptEvent end = NextEvent();
+  CHECK(end.kind == AttemptEvent::Kind::End);
+  CHECK_FALSE(end.whole);
+  CHECK_FALSE(end.kept);
+}
+
 /// Guards against a request of which nobody can tell whether it ran, though not
 /// a byte of it was sent.
 TEST_CASE_METHOD(SlowUploadFixture,
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -38,7 +38,14 @@
 /// Time to learn whether an endpoint has ended; it takes a round trip.
 constexpr Milliseconds kEndpointCheckTimeout{ 50 };
 
+constexpr int kMinInterimStatus = 100;
+constexpr int kSwitchingProtocolsStatus = 101;
 constexpr int kMinFinalStatus = 200;
+constexpr int kMaxStatus = 599;
+
+/// Interim responses that are skipped before a response; an endpoint that sends
+/// more would hold the attempt until its time limit.
+constexpr int kMaxInterimResponses = 16;
 
 /// Fraction of the announced keep-alive timeout for which an idle connection is
 /// reused; the rest keeps clear of the moment when the endpoint closes it.
@@ -330,6 +337,7 @@
     // The endpoint may have responded before it closed the connection; OnRead
     // will receive the response or the end of the stream.
     m_reusable = false;
+    m_writeFailed = true;
     m_requestComplete = true;
     return;
   }
@@ -382,7 +390,10 @@
 {
   m_reusable = false;
   const bool endOfStream = aError == asio::error::eof;
-  if (endOfStream && m_headRead && !m_mismatched && m_parser->need_eof()) {
+  // A write that fails because of a reset consumes the socket's error, and the
+  // next read sees an end of stream.
+  const bool closed = endOfStream && !m_writeFailed;
+  if (closed && m_headRead && !m_mismatched && m_parser->need_eof()) {
     OnResponseComplete();
     return;
   }
@@ -476,6 +487,13 @@
     return false;
   }
   if (!headWasDone && m_parser->is_header_done()) {
+    const char* fault = FindStatusFault();
+    if (fault != nullptr) {
+      m_reusable = false;
+      RecordStrayBytes();
+      Finish(false, fault);
+      return false;
+    }
     OnResponseHead();
   }
   const std::string body = m_parser->TakeBody();
@@ -498,6 +516,24 @@
   return used > 0 && input.Size() > 0;
 }
 
+/// @return Why the status of the response is not accepted; nullptr if it is.
+const char*
+UpstreamTransfer::FindStatusFault()
+{
+  const int status = m_parser->Head().status;
+  if (status < kMinInterimStatus || status > kMaxStatus) {
+    return "the status is not an HTTP status";
+  }
+  if (status == kSwitchingProtocolsStatus) {
+    return "the endpoint switches protocols unasked";
+  }
+  const bool interim = status < kMinFinalStatus;
+  m_interimResponses += interim ? 1 : 0;
+  return interim && m_interimResponses > kMaxInterimResponses
+           ? "too many interim responses"
+           : nullptr;
+}
+
 void
 UpstreamTransfer::OnResponseHead()
 {
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -71,6 +71,7 @@
                          const std::string& aError);
   std::optional<boost::asio::ip::tcp::endpoint> Address() const;
   bool ParseInput();
+  const char* FindStatusFault();
   void OnResponseHead();
   void OnResponseComplete();
   void ReportHead();
@@ -94,6 +95,7 @@
   bool m_connecting = false;
   std::string m_output;
   bool m_writing = false;
+  bool m_writeFailed = false;
   bool m_requestComplete = false;    ///< All of it is written or in m_output.
   std::uint64_t m_sentBodyBytes = 0; ///< Those in m_output included.
   bool m_sentBodyEnd = false;        ///< So is the end of the body.
@@ -106,6 +108,7 @@
   bool m_receivedAny = false;   ///< A byte of a response has arrived.
   bool m_mismatched = false;    ///< The response is to another request.
   bool m_reusable = true;       ///< The connection may be reused.
+  int m_interimResponses = 0;
   bool m_headRead = false;
   bool m_headReported = false;
   ResponseHead m_head;
