Send no requests to evacuated data centres

Cause: the operator's row op/evacuate/DATA-CENTRE was read by nobody.

Change: the read of table op returns evacuations with their row versions. EvacuationTable keeps the highest version of each data centre, ended ones included; a read of the whole table ends those that it lacks. Each ViewNews and each ViewReply carries them, and they are applied before the configuration of the same message, so that a first view has them. FleetConfig::evacuated is the set in force. ServiceState::IsInService is false there, subsets are chosen among the other endpoints, and a service all of whose endpoints are evacuated refuses its requests, waiting ones included, with 503, reason "evacuated".

A configuration that cannot be decoded was thrown as an unavailable store, which would have hidden the evacuations of the same read; it is now reported in the batch and read again.

Ruled out: sending after a long time to an endpoint that was chosen before the evacuation became known. UpstreamTransfer writes the head when the connection is there or fails within connect_timeout; nothing else waits before the write.

--- a/include/sapphirelane/config/fleet.h
+++ b/include/sapphirelane/config/fleet.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -125,8 +126,10 @@
   std::map<std::string, Account> accounts;
   std::map<std::string, Key> keys;
   std::map<std::string, Host> hosts;
+  /// Data centres whose endpoints get no requests.
+  std::set<std::string> evacuated;
   CallerLimits limits;
-  /// Grows when endpoints change without a new version.
+  /// Grows when endpoints or evacuations change without a new version.
   std::uint64_t endpoint_revision = 0;
 };
 
@@ -148,7 +151,8 @@
 bool
 IsAddress(const std::string& aText);
 
-/// @brief Encodes a configuration as rows, by key "kind/id".
+/// @brief Encodes a configuration as rows, by key "kind/id". The row of an
+/// evacuation, "evacuations/DATA-CENTRE", is an empty object.
 std::map<std::string, nlohmann::json>
 RowsOf(const FleetConfig& aConfig);
 
--- a/include/sapphirelane/proxy/refusal.h
+++ b/include/sapphirelane/proxy/refusal.h
@@ -32,6 +32,11 @@
        const Refusal& aRefusal,
        const HttpDialect& aDialect);
 
+/// @brief Refusal of requests for a service all of whose endpoints are in
+/// evacuated data centres.
+Refusal
+EvacuatedRefusal();
+
 /// @brief Name of an outcome in the response header and body.
 const char*
 OutcomeWord(Outcome aOutcome);
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -192,6 +192,9 @@
 
   bool IsEjected(const std::string& aEndpoint) const;
 
+  /// @brief Whether every endpoint is in an evacuated data centre.
+  bool IsEvacuated() const;
+
   /// @brief Number of endpoints in the configuration.
   std::size_t Size() const { return m_endpoints.size(); }
 
@@ -222,6 +225,7 @@
     bool in_subset = true;
     bool heard = true; ///< All load reports on it are received.
     bool address_taken = false;
+    bool evacuated = false; ///< Its data centre is.
     bool trial_running = false;
     EndpointEvidence evidence;
   };
--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -9,6 +9,7 @@
 
 #include "sapphirelane/base/time.h"
 #include "sapphirelane/config/fleet.h"
+#include "sapphirelane/relay/evacuation_table.h"
 #include "sapphirelane/store/fleet_source.h"
 
 namespace sapphirelane {
@@ -41,6 +42,17 @@
   /// @return True if it was applied.
   bool TakeConfig(FleetConfig aConfig);
 
+  /// @brief Applies evacuations read from the store or received from a peer.
+  /// They are kept from the first one on, also before there is a configuration.
+  /// @param aWholeAt Version of a full snapshot; empty if these are changes.
+  /// @return True if the data centres that are evacuated have changed.
+  bool TakeEvacuations(const std::vector<EvacuationChange>& aChanges,
+                       std::optional<EvacuationVersion> aWholeAt,
+                       TimePoint aNow);
+
+  const EvacuationTable& Evacuations() const { return m_evacuations; }
+  EvacuationTable& Evacuations() { return m_evacuations; }
+
   /// @brief Applies endpoints read from the store or fetched from a peer.
   /// @param aBase Store version that the changes follow on; 0 if they are a
   /// full snapshot.
@@ -141,10 +153,12 @@
 
   FleetViewOptions m_options;
   std::optional<FleetConfig> m_config;
+  EvacuationTable m_evacuations;
   std::map<std::string, Entry> m_entries;
   std::uint64_t m_version = 0;
-  std::uint64_t m_revision = 0; ///< Local counter of endpoint changes.
-  std::uint64_t m_digest = 0;   ///< See Digest.
+  /// Local counter of changes of endpoints and evacuations.
+  std::uint64_t m_revision = 0;
+  std::uint64_t m_digest = 0; ///< See Digest.
   TimePoint m_asOf{};
   TimePoint m_contactAt{}; ///< Latest time at which any daemon read the store.
   TimePoint m_recoveredAt{};                ///< End of the store's last outage.
--- a/include/sapphirelane/relay/store_fleet.h
+++ b/include/sapphirelane/relay/store_fleet.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_RELAY_STORE_FLEET_H
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -62,6 +63,8 @@
   std::size_t live = 1;    ///< Live daemons, this one included.
   std::size_t counted = 1; ///< Members: live daemons and those missing lately.
   bool store_answers = false; ///< The latest store call succeeded.
+  /// Evacuated data centres, with the time for which this daemon has known.
+  std::map<std::string, Duration> evacuated;
 };
 
 /// @brief Daemon in a fleet whose configuration and endpoints come from an
--- a/include/sapphirelane/store/fleet_source.h
+++ b/include/sapphirelane/store/fleet_source.h
@@ -30,11 +30,28 @@
   std::vector<EndpointChange> changes;
 };
 
+/// @brief Version of an evacuation's row; the highest one wins.
+using EvacuationVersion = std::uint64_t;
+
+/// @brief Beginning or end of the evacuation of a data centre.
+struct EvacuationChange
+{
+  std::string data_centre;
+  EvacuationVersion version = 0; ///< Of the row, or of its removal.
+  bool evacuated = false;        ///< False: requests may be sent there again.
+};
+
 /// @brief A configuration read from a store.
 struct ConfigBatch
 {
   std::uint64_t version = 0; ///< Store version; where the next read continues.
   std::optional<FleetConfig> config; ///< Without endpoints; empty if unchanged.
+  /// There is a configuration that could not be decoded. The next read has to
+  /// continue where this one did.
+  bool unreadable = false;
+  /// The evacuations are a full snapshot: those not in it have ended.
+  bool whole = false;
+  std::vector<EvacuationChange> evacuations;
 };
 
 /// @brief Entry in the store under which a daemon is found by others.
@@ -64,7 +81,8 @@
   /// @param aAfter Version of the previous batch; 0 for a full snapshot.
   virtual EndpointBatch ReadEndpoints(std::uint64_t aAfter) = 0;
 
-  /// @brief Reads the configuration if it changed since a version.
+  /// @brief Reads the configuration and the evacuations that changed since a
+  /// version.
   /// @param aAfter Version of the previous batch; 0 to read it in any case.
   virtual ConfigBatch ReadConfig(std::uint64_t aAfter) = 0;
 
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -506,6 +506,20 @@
   }
 };
 
+/// @brief Beginning or end of a data centre's evacuation.
+struct WireEvacuation
+{
+  std::string data_centre;
+  std::uint64_t version = 0;
+  bool evacuated = false;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(data_centre, version, evacuated);
+  }
+};
+
 /// @brief Part of an update of a daemon's view of the store.
 struct ViewNews
 {
@@ -521,6 +535,8 @@
   std::vector<WireEndpoint> changes; ///< Recent ones.
   std::uint64_t config_version = 0;  ///< The newest that the sender knows of.
   std::uint64_t held_config = 0;     ///< The newest that it holds.
+  /// Known ones, ended ones included; in turn if there are very many.
+  std::vector<WireEvacuation> evacuations;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -535,7 +551,8 @@
              last,
              changes,
              config_version,
-             held_config);
+             held_config,
+             evacuations);
   }
 };
 
@@ -804,6 +821,7 @@
   std::string config;
   std::uint64_t config_base = 0; ///< Of the difference; 0 for a whole text.
   std::uint64_t config_hash = 0; ///< StableHash of the whole text.
+  std::vector<WireEvacuation> evacuations; ///< All known, ended ones included.
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -818,7 +836,8 @@
              endpoints,
              config,
              config_base,
-             config_hash);
+             config_hash,
+             evacuations);
   }
 };
 
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -463,6 +463,10 @@
       return;
     }
     ServiceEntry& service = *found;
+    if (service.state->IsEvacuated()) {
+      RefuseAdmitted(aId, EvacuatedRefusal(), aNow);
+      return;
+    }
     const QueuedRequest queued = MakeQueued(aId, aRequest, *service.state);
     const Duration wait =
       service.state->ExpectedWait(service.queue->SizeAhead(queued), aNow);
@@ -509,9 +513,15 @@
     return queued;
   }
 
-  /// Refuses waiting requests that cannot be answered in time any more.
+  /// Refuses waiting requests that cannot be answered in time any more; all of
+  /// them if the service is evacuated.
   void RefuseLate(ServiceEntry& aService, TimePoint aNow)
   {
+    if (aService.state->IsEvacuated()) {
+      for (const auto& waiting : aService.queue->TakeLate(TimePoint::max())) {
+        RefuseAdmitted(waiting.id, EvacuatedRefusal(), aNow);
+      }
+    }
     for (const QueuedRequest& late : aService.queue->TakeLate(aNow)) {
       const Duration wait =
         aService.state->ExpectedWait(aService.queue->SizeAhead(late), aNow);
--- a/src/sapphirelane/proxy/refusal.cpp
+++ b/src/sapphirelane/proxy/refusal.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+/// Retry-After of requests for a service that is evacuated. Operators end an
+/// evacuation after minutes; a shorter time would only bring the same callers
+/// back to be refused again, a longer one would keep them away after its end.
+constexpr Milliseconds kEvacuatedRetryAfter{ 5000 };
+
 /// Formats a time in seconds, with a fraction only if needed.
 std::string
 FormatSeconds(Milliseconds aTime)
@@ -20,6 +25,16 @@
 
 } // namespace
 
+Refusal
+EvacuatedRefusal()
+{
+  return { 503,
+           Outcome::NotRun,
+           "evacuated",
+           "all data centres of the service are evacuated",
+           kEvacuatedRetryAfter };
+}
+
 const char*
 OutcomeWord(Outcome aOutcome)
 {
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -90,6 +90,9 @@
     service.has_safe_route = HasSafeRoute(*config, entry.first);
   }
   m_metrics.Set("config_version", {}, static_cast<double>(config->version));
+  m_metrics.Set("evacuated_data_centres",
+                {},
+                static_cast<double>(config->evacuated.size()));
 }
 
 void
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -94,12 +94,17 @@
   m_minHealthyPercent = aConfig.services.at(aService).floor;
   const bool first = m_endpoints.empty();
   std::vector<std::string> ids;
+  std::vector<std::string> usable; // Not in evacuated data centres.
   std::uint32_t connections = 0;
   for (const auto& [id, endpoint] : aConfig.endpoints) {
     if (endpoint.service != aService) {
       continue;
     }
+    const bool evacuated = aConfig.evacuated.count(endpoint.data_centre) == 1;
     ids.push_back(id);
+    if (!evacuated) {
+      usable.push_back(id);
+    }
     connections = connections == 0
                     ? endpoint.connections
                     : std::min(connections, endpoint.connections);
@@ -109,9 +114,11 @@
                          endpoint.state == LifeState::InService;
     const bool restarted =
       !isNew && state.endpoint.lifetime != endpoint.lifetime;
+    const bool returns = state.evacuated && !evacuated;
+    state.evacuated = evacuated;
     if (isNew) {
       state.in_service_since = first ? aNow - kWarmedUpAge : aNow;
-    } else if (rejoins || restarted) {
+    } else if (rejoins || restarted || returns) {
       state.in_service_since = aNow;
     }
     if (restarted || state.endpoint.address != endpoint.address) {
@@ -123,7 +130,7 @@
       m_ejector->Reset(id);
       state.latency = Duration(0);
     }
-    const bool newlyCold = isNew || restarted;
+    const bool newlyCold = isNew || restarted || returns;
     if (newlyCold && endpoint.cold > Milliseconds::zero()) {
       state.cold_until = aNow + endpoint.cold;
     }
@@ -140,9 +147,9 @@
   }
   m_notices.RemoveExpired(aNow);
   m_limits.RemoveExpired(aNow);
-  const std::size_t size =
-    SubsetSize(ids.size(), aHosts, connections, m_options.pool * kPoolsPerHost);
-  auto subset = ChooseSubset(ids, aRank, size);
+  const std::size_t size = SubsetSize(
+    usable.size(), aHosts, connections, m_options.pool * kPoolsPerHost);
+  auto subset = ChooseSubset(usable, aRank, size);
   std::sort(subset.begin(), subset.end());
   for (auto& [id, state] : m_endpoints) {
     state.in_subset = std::binary_search(subset.begin(), subset.end(), id);
@@ -160,12 +167,12 @@
 }
 
 /// Whether an endpoint takes part in the service: neither the view nor the
-/// endpoint itself says that it leaves.
+/// endpoint itself says that it leaves, and its data centre is not evacuated.
 bool
 ServiceState::IsInService(const EndpointState& aState, TimePoint aNow) const
 {
   return aState.endpoint.state == LifeState::InService &&
-         !aState.address_taken &&
+         !aState.address_taken && !aState.evacuated &&
          !m_notices.IsLeaving(
            aState.endpoint.id, aState.endpoint.lifetime, aNow);
 }
@@ -671,6 +678,9 @@
 std::string
 ServiceState::IdleReason(const EndpointState& aState, TimePoint aNow) const
 {
+  if (aState.evacuated) {
+    return "evacuated";
+  }
   if (aState.address_taken) {
     return "address-taken";
   }
@@ -765,6 +775,15 @@
   return m_ejector->IsEjected(aEndpoint);
 }
 
+bool
+ServiceState::IsEvacuated() const
+{
+  return !m_endpoints.empty() &&
+         std::all_of(m_endpoints.begin(),
+                     m_endpoints.end(),
+                     [](const auto& aItem) { return aItem.second.evacuated; });
+}
+
 std::size_t
 ServiceState::Ejected() const
 {
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -266,5 +266,80 @@
   CHECK(m_state->HedgeAfter() <= 3 * m_latency);
 }
 
+/// Guards against a request that goes to an evacuated data centre by any way:
+/// a choice by cost, a probe of an idle endpoint, or the trial of an ejected
+/// one.
+TEST_CASE_METHOD(ServiceStateFixture,
+                 "ServiceState, evacuated data centre, gets no request of any "
+                 "kind until the evacuation ends")
+{
+  const std::set<std::string> evacuated = { "e103", "e104", "e105" };
+  for (const std::string& id : evacuated) {
+    m_config.endpoints[id].data_centre = "there";
+  }
+  m_failing = { "e104" };
+  PlaceRequest request;
+  request.may_try = true;
+  request.spread = true;
+  request.explores = true;
+  Send(200, request);
+  m_config.evacuated = { "there", "unknown" };
+  m_state->Load(m_config, "s", 0, 1, m_now);
+  CHECK_FALSE(m_state->IsEvacuated());
+  for (const std::string& id : Send(400, request)) {
+    CHECK(evacuated.count(id) == 0);
+  }
+  for (const IdleEndpoint& idle : m_state->IdleEndpoints(m_now)) {
+    CHECK((evacuated.count(idle.endpoint) == 1) ==
+          (idle.reason == "evacuated"));
+  }
+  m_config.evacuated.clear();
+  m_failing.clear();
+  m_state->Load(m_config, "s", 0, 1, m_now);
+  const auto used = Send(400, request);
+  CHECK(used.count("e103") + used.count("e105") == 2);
+}
+
+/// Guards against ejection that keeps endpoints in as their evacuated fellows
+/// count as healthy, and against a wait that counts on slots which get no
+/// requests.
+TEST_CASE_METHOD(ServiceStateFixture,
+                 "ServiceState, evacuated data centre, counts neither for the "
+                 "expected wait nor as free")
+{
+  const std::size_t all = m_state->FreeSlots(m_now);
+  for (int i = 0; i < 9; ++i) {
+    m_config.endpoints["e" + std::to_string(103 + i)].data_centre = "there";
+  }
+  m_config.evacuated = { "there" };
+  m_state->Load(m_config, "s", 0, 1, m_now);
+  CHECK(m_state->FreeSlots(m_now) == all / 4);
+  m_config.evacuated = { "there", "here" };
+  m_state->Load(m_config, "s", 0, 1, m_now);
+  CHECK(m_state->IsEvacuated());
+  CHECK(m_state->FreeSlots(m_now) == 0);
+  CHECK(m_state->ExpectedWait(0, m_now) == Duration::max());
+  CHECK_FALSE(m_state->Place({}, m_now, m_random));
+}
+
+/// Guards against a host whose few endpoints of a large service are all in an
+/// evacuated data centre, while others could serve.
+TEST_CASE_METHOD(ServiceStateFixture,
+                 "ServiceState, evacuated data centre of a large service, "
+                 "leaves every host endpoints to use")
+{
+  Make(60, 2);
+  for (auto& entry : m_config.endpoints) {
+    entry.second.connections = 20;
+    const bool there = entry.first >= "e120";
+    entry.second.data_centre = there ? "there" : "here";
+  }
+  m_config.evacuated = { "there" };
+  for (std::size_t rank = 0; rank < 50; ++rank) {
+    m_state->Load(m_config, "s", rank, 50, m_now);
+    CHECK(m_state->FreeSlots(m_now) > 0);
+  }
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/store_fleet_runtime.cpp
+++ b/src/sapphirelane/proxy/store_fleet_runtime.cpp
@@ -115,6 +115,10 @@
     const StoreFleetStatus status = m_dispatch.Call<StoreFleetStatus>(
       [this](TimePoint aNow) { return m_fleet->Status(aNow); });
     const bool hasView = status.view_age != Duration::max();
+    nlohmann::json evacuated = nlohmann::json::object();
+    for (const auto& [name, known] : status.evacuated) {
+      evacuated[name] = { { "known_ms", ToMilliseconds(known).count() } };
+    }
     const nlohmann::json body = {
       { "config_version", status.config_version },
       { "endpoints", status.endpoints },
@@ -123,9 +127,12 @@
                 : nlohmann::json() },
       { "members", status.live },
       { "members_counted", status.counted },
-      { "platform_answers", status.store_answers }
+      { "platform_answers", status.store_answers },
+      { "evacuated", evacuated }
     };
-    return JsonReply(200, body.dump());
+    // A name from the store may be no proper UTF-8.
+    return JsonReply(
+      200, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
   }
 
   // StoreFleetEnv, on the dispatch thread.
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -62,6 +62,21 @@
   return true;
 }
 
+bool
+FleetView::TakeEvacuations(const std::vector<EvacuationChange>& aChanges,
+                           std::optional<EvacuationVersion> aWholeAt,
+                           TimePoint aNow)
+{
+  const bool changed = aWholeAt
+                         ? m_evacuations.TakeWhole(aChanges, *aWholeAt, aNow)
+                         : m_evacuations.Take(aChanges, aNow);
+  if (changed) {
+    ++m_revision;
+    Rebuild();
+  }
+  return changed;
+}
+
 bool
 FleetView::TakeEndpoints(std::uint64_t aBase,
                          std::uint64_t aVersion,
@@ -308,6 +323,10 @@
     return;
   }
   m_config->endpoint_revision = m_revision;
+  m_config->evacuated.clear();
+  for (const auto& item : m_evacuations.InForce()) {
+    m_config->evacuated.insert(item.first);
+  }
   m_config->endpoints.clear();
   for (const auto& [id, entry] : m_entries) {
     if (!entry.endpoint) {
--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -135,6 +135,13 @@
     return count;
   }
 
+  /// Writes or removes the operator's row that evacuates a data centre. The
+  /// configuration itself does not change.
+  void SetEvacuated(const std::string& aCentre, bool aEvacuated)
+  {
+    m_evacuations[aCentre] = { aCentre, ++m_version, aEvacuated };
+  }
+
   void SetConfig(std::uint64_t aVersion)
   {
     m_config.version = aVersion;
@@ -596,6 +603,14 @@
         break;
       case SourceCall::Kind::ReadConfig:
         aResult.config.version = m_version;
+        aResult.config.whole = aCall.after == 0;
+        for (const auto& entry : m_evacuations) {
+          const EvacuationChange& change = entry.second;
+          if (change.version > aCall.after &&
+              (change.evacuated || aCall.after > 0)) {
+            aResult.config.evacuations.push_back(change);
+          }
+        }
         if (m_configVersion > aCall.after) {
           aResult.config.config = m_config;
           bytes +=
@@ -624,6 +639,7 @@
   std::unordered_map<std::string, int> m_indexByAddress;
   std::map<std::size_t, MessageCount> m_sent;
   std::map<std::string, EndpointChange> m_endpoints;
+  std::map<std::string, EvacuationChange> m_evacuations;
   std::map<std::string, HostEntry> m_hosts;
   FleetConfig m_config;
   std::uint64_t m_version = 1;
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -327,6 +327,9 @@
     status.live = m_peers.Live(aNow);
     status.counted = m_peers.Counted(aNow);
     status.store_answers = m_storeAnswers;
+    for (const auto& [name, since] : m_view.Evacuations().InForce()) {
+      status.evacuated[name] = aNow - since;
+    }
     return status;
   }
 
--- a/src/sapphirelane/relay/view_keeper.cpp
+++ b/src/sapphirelane/relay/view_keeper.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "sapphirelane/base/error.h"
@@ -46,6 +47,17 @@
 /// Size of an endpoint in a reply.
 constexpr std::size_t kEndpointBytes = 100;
 
+/// Evacuations in one datagram, in bytes: some fifty of them, which fit beside
+/// kMaxChangesPerUpdate changes. There are few;
+/// more take turns in successive updates.
+constexpr std::size_t kMaxEvacuationBytes = 2048;
+
+/// Least time between two log lines on evacuations that are ignored.
+constexpr Milliseconds kIgnoredLogInterval{ 1000 };
+
+/// Data centres that one log line names at most.
+constexpr std::size_t kMaxLoggedNames = 16;
+
 /// Upper limit of changes in one datagram.
 constexpr std::ptrdiff_t kMaxChangesPerUpdate = 24;
 
@@ -130,6 +142,63 @@
   }
 }
 
+/// Applies evacuations that were read from the store or came from a peer.
+bool
+ViewReplica::TakeEvacuations(const std::vector<EvacuationChange>& aChanges,
+                             std::optional<EvacuationVersion> aWholeAt,
+                             const std::string& aSource,
+                             TimePoint aNow)
+{
+  const bool changed = m_view.TakeEvacuations(aChanges, aWholeAt, aNow);
+  if (changed) {
+    LogEvacuations(aSource, aNow);
+  }
+  if (aNow >= m_nextIgnoredLog) {
+    const std::size_t ignored = m_view.Evacuations().TakeIgnored();
+    if (ignored > 0) {
+      m_nextIgnoredLog = aNow + kIgnoredLogInterval;
+      LogLine("view",
+              "Evacuations are ignored: the data centre's name is empty or too "
+              "long, or there are too many.",
+              LogFields()
+                .Add("ignored", std::uint64_t{ ignored })
+                .Add("from", aSource));
+    }
+  }
+  return changed;
+}
+
+/// Logs the evacuations in force, in one line however many there are.
+void
+ViewReplica::LogEvacuations(const std::string& aSource, TimePoint aNow)
+{
+  const auto evacuated = m_view.Evacuations().InForce();
+  std::set<std::string> centres;
+  const FleetConfig* config = m_view.Config();
+  if (config != nullptr) {
+    for (const auto& item : config->endpoints) {
+      centres.insert(item.second.data_centre);
+    }
+  }
+  std::string names;
+  std::size_t named = 0;
+  std::uint64_t unknown = 0;
+  for (const auto& item : evacuated) {
+    unknown += config != nullptr && centres.count(item.first) == 0 ? 1 : 0;
+    if (++named <= kMaxLoggedNames) {
+      names += (names.empty() ? "" : ",") + item.first;
+    }
+  }
+  LogLine("view",
+          "The evacuated data centres have changed.",
+          LogFields()
+            .Add("evacuated", std::uint64_t{ evacuated.size() })
+            .Add("data_centres", names)
+            .Add("without_endpoints", unknown)
+            .Add("view_age_ms", m_view.Age(aNow))
+            .Add("from", aSource));
+}
+
 Milliseconds
 ViewReplica::Uptime(TimePoint aNow) const
 {
@@ -152,6 +221,7 @@
     return false;
   }
   aConfig.endpoints.clear();
+  aConfig.evacuated.clear(); // They are versioned on their own.
   m_configs.Add(version, EncodeFleet(aConfig));
   m_receivers.clear();
   return m_view.TakeConfig(std::move(aConfig));
@@ -243,8 +313,18 @@
     call.after = m_view.Version();
     m_env.CallSource(call);
   }
-  m_configCursor = std::max(m_configCursor, aResult.config.version);
-  if (aResult.config.config && TakeConfig(*aResult.config.config)) {
+  const ConfigBatch& batch = aResult.config;
+  if (!batch.unreadable) {
+    m_configCursor = std::max(m_configCursor, batch.version);
+  }
+  // The evacuations are applied first, so that a first view has them.
+  const bool evacuationsChanged =
+    TakeEvacuations(batch.evacuations,
+                    batch.whole ? std::optional(batch.version) : std::nullopt,
+                    "store",
+                    aNow);
+  const bool configChanged = batch.config && TakeConfig(*batch.config);
+  if (evacuationsChanged || configChanged) {
     m_onChange(aNow, "store");
     SendUpdate(aNow);
   }
@@ -264,6 +344,8 @@
   update.digest = m_view.Digest();
   update.held_config = m_view.ConfigVersion();
   update.config_version = std::max(m_newestConfigVersion, update.held_config);
+  update.evacuations =
+    ToWire(m_view.Evacuations().TakeTurn(kMaxEvacuationBytes));
   // All messages go through the same relays to preserve their order.
   const auto relays = m_sender.PickRelays(kRelaysPerCentre, aNow);
   auto first = changes.begin();
@@ -311,6 +393,7 @@
     RecordDelay(aUpdate.origin,
                 Milliseconds(static_cast<std::int64_t>(aUpdate.sent_ms)),
                 aNow);
+  TakeEvacuations(FromWire(aUpdate.evacuations), std::nullopt, aAddress, aNow);
   const Duration ageBefore = m_view.Age(aNow);
   const bool complete = m_view.TakeUpdate(aUpdate.version,
                                           aUpdate.digest,
@@ -478,6 +561,8 @@
 ViewReplica::ApplyView(const ViewReply& aReply, TimePoint aNow)
 {
   m_referrals = 0;
+  TakeEvacuations(
+    FromWire(aReply.evacuations), std::nullopt, m_fetchAddress, aNow);
   ApplyConfig(aReply);
   const Duration age = Milliseconds(aReply.age_ms) + (aNow - m_fetchStarted);
   if (aReply.base == 0) {
@@ -587,8 +672,9 @@
   if (sendsConfig) {
     AddConfig(reply, aFetch.config_version);
   }
-  const std::size_t bytes =
-    reply.config.size() + reply.endpoints.size() * kEndpointBytes;
+  reply.evacuations = ToWire(m_view.Evacuations().All());
+  const std::size_t rows = reply.endpoints.size() + reply.evacuations.size();
+  const std::size_t bytes = reply.config.size() + rows * kEndpointBytes;
   if (!m_budget.TryTake(bytes, aNow)) {
     ViewReply refusal;
     refusal.known = true;
--- a/src/sapphirelane/relay/view_keeper.h
+++ b/src/sapphirelane/relay/view_keeper.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,11 @@
                     Duration aAgeBefore,
                     TimePoint aNow);
   void LogDepartures(const std::string& aSource, TimePoint aNow);
+  bool TakeEvacuations(const std::vector<EvacuationChange>& aChanges,
+                       std::optional<EvacuationVersion> aWholeAt,
+                       const std::string& aSource,
+                       TimePoint aNow);
+  void LogEvacuations(const std::string& aSource, TimePoint aNow);
   void ReadStore(TimePoint aNow);
   void ReadConfig();
   void SendUpdate(TimePoint aNow);
@@ -126,7 +132,8 @@
   bool m_lacksChanges = false; ///< Since an update that did not complete it.
   std::string m_retryAddress;  ///< Daemon to ask next; empty for none.
   TimePoint m_retryAt{};
-  int m_referrals = 0; ///< Daemons in a row that were busy.
+  int m_referrals = 0;          ///< Daemons in a row that were busy.
+  TimePoint m_nextIgnoredLog{}; ///< Of evacuations.
   ConfigHistory m_configs;
   TransferBudget m_budget;
   /// Daemons that were sent the newest configuration.
--- a/src/sapphirelane/relay/view_wire.cpp
+++ b/src/sapphirelane/relay/view_wire.cpp
@@ -72,4 +72,26 @@
   return changes;
 }
 
+std::vector<WireEvacuation>
+ToWire(const std::vector<EvacuationChange>& aChanges)
+{
+  std::vector<WireEvacuation> wire;
+  wire.reserve(aChanges.size());
+  for (const EvacuationChange& change : aChanges) {
+    wire.push_back({ change.data_centre, change.version, change.evacuated });
+  }
+  return wire;
+}
+
+std::vector<EvacuationChange>
+FromWire(const std::vector<WireEvacuation>& aWire)
+{
+  std::vector<EvacuationChange> changes;
+  changes.reserve(aWire.size());
+  for (const WireEvacuation& item : aWire) {
+    changes.push_back({ item.data_centre, item.version, item.evacuated });
+  }
+  return changes;
+}
+
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/view_wire.h
+++ b/src/sapphirelane/relay/view_wire.h
@@ -16,6 +16,14 @@
 std::vector<EndpointChange>
 FromWire(const std::vector<WireEndpoint>& aWire);
 
+/// @brief Converts evacuations to the form that is sent between daemons.
+std::vector<WireEvacuation>
+ToWire(const std::vector<EvacuationChange>& aChanges);
+
+/// @brief Converts received evacuations; the reverse of ToWire.
+std::vector<EvacuationChange>
+FromWire(const std::vector<WireEvacuation>& aWire);
+
 } // namespace sapphirelane
 
 #endif // SAPPHIRELANE_RELAY_VIEW_WIRE_H
