Let operators evacuate data centres in fleets that keep their configuration

Change: rows evacuations/DATA-CENTRE of the configuration, sapphirelanectl evacuate and restore. The key says all, so that any value of the row counts. A sheet keeps the evacuations in force, as it is planned ahead and must not end an operator's order.

Measured: the config tests pass, among them the three new ones.

--- a/src/sapphirelane/config/change_set_test.cpp
+++ b/src/sapphirelane/config/change_set_test.cpp
@@ -124,5 +124,40 @@
   CHECK(FindRoute(m_config, "", "/abc") == nullptr);
 }
 
+/// Guards against an evacuation that is lost on the way through a change set or
+/// through the text that daemons exchange, and against one that an unreadable
+/// row ends: the key says all.
+TEST_CASE_METHOD(ChangeSetFixture,
+                 "Apply, evacuation of a data centre, is kept until its row is "
+                 "removed")
+{
+  ChangeSet begin;
+  begin.rows = { { "evacuations/north", nullptr, nlohmann::json::object() } };
+  const FleetConfig evacuated = Apply(m_config, begin);
+  CHECK(evacuated.evacuated == std::set<std::string>{ "north" });
+  CHECK(DecodeFleet(EncodeFleet(evacuated)).evacuated == evacuated.evacuated);
+  CHECK(Difference(evacuated, m_config).size() == 1);
+  ChangeSet end;
+  end.rows = { { "evacuations/north", nlohmann::json::object(), nullptr } };
+  CHECK(Apply(evacuated, end).evacuated.empty());
+  FleetConfig config;
+  for (const nlohmann::json& row :
+       { nlohmann::json("no object"), nlohmann::json(0) }) {
+    config.evacuated.clear();
+    SetRow(config, "evacuations/north", row);
+    CHECK(config.evacuated.count("north") == 1);
+  }
+}
+
+TEST_CASE_METHOD(ChangeSetFixture,
+                 "Apply, evacuation under a very long name, refuses")
+{
+  ChangeSet change;
+  change.rows = { { "evacuations/" + std::string(256, 'x'),
+                    nullptr,
+                    nlohmann::json::object() } };
+  CHECK_THROWS_AS(Apply(m_config, change), ConfigError);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/config/fleet.cpp
+++ b/src/sapphirelane/config/fleet.cpp
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <cmath>
 #include <optional>
+#include <string_view>
 
 #include "sapphirelane/base/error.h"
 
@@ -65,6 +66,13 @@
   return aState == LifeState::Leaving ? "leaving" : "in-service";
 }
 
+/// Row of an evacuation; its key says all.
+json
+EvacuationRow()
+{
+  return json::object();
+}
+
 json
 Row(const Service& aService)
 {
@@ -227,6 +235,20 @@
   aItems[aId] = item;
 }
 
+constexpr std::string_view kEvacuationPrefix = "evacuations/";
+
+/// Longest name of a data centre that can be evacuated.
+constexpr std::size_t kDataCentreLength = 255;
+
+/// Data centre of an evacuation's row key; empty for keys of another kind.
+std::string
+EvacuationOf(const std::string& aKey)
+{
+  const std::size_t length = kEvacuationPrefix.size();
+  return aKey.compare(0, length, kEvacuationPrefix) == 0 ? aKey.substr(length)
+                                                         : std::string();
+}
+
 /// Calls back with the items of a row key's kind, and its id.
 /// @throws ConfigError if the key names no kind.
 template<typename Config, typename Visitor>
@@ -298,6 +320,12 @@
     CheckIds(m_config.accounts);
     CheckIds(m_config.keys);
     CheckIds(m_config.hosts);
+    for (const std::string& name : m_config.evacuated) {
+      Expect(name.size() <= kDataCentreLength && IsPrintable(name), [&] {
+        return "evacuated data centre \"" + name +
+               "\": expected at most 255 printable ASCII characters";
+      });
+    }
     for (const auto& [id, service] : m_config.services) {
       const std::string& name = id;
       Expect(service.floor <= kFullPercent, [&] {
@@ -482,12 +510,19 @@
   AddRows(rows, "account", aConfig.accounts);
   AddRows(rows, "key", aConfig.keys);
   AddRows(rows, "host", aConfig.hosts);
+  for (const std::string& name : aConfig.evacuated) {
+    rows.emplace(std::string(kEvacuationPrefix) + name, EvacuationRow());
+  }
   return rows;
 }
 
 json
 RowOf(const FleetConfig& aConfig, const std::string& aKey)
 {
+  const std::string evacuated = EvacuationOf(aKey);
+  if (!evacuated.empty()) {
+    return aConfig.evacuated.count(evacuated) == 1 ? EvacuationRow() : json();
+  }
   json row;
   const auto find = [&row](const auto& aItems, const std::string& aId) {
     auto found = aItems.find(aId);
@@ -502,6 +537,15 @@
 void
 SetRow(FleetConfig& aConfig, const std::string& aKey, const json& aRow)
 {
+  const std::string evacuated = EvacuationOf(aKey);
+  if (!evacuated.empty()) {
+    if (aRow.is_null()) {
+      aConfig.evacuated.erase(evacuated);
+    } else {
+      aConfig.evacuated.insert(evacuated);
+    }
+    return;
+  }
   try {
     VisitKind(aConfig, aKey, [&aRow](auto& aItems, const std::string& aId) {
       SetItem(aItems, aId, aRow);
--- a/src/sapphirelane/config/sheet.cpp
+++ b/src/sapphirelane/config/sheet.cpp
@@ -321,6 +321,8 @@
 Replace(const FleetConfig& aOld, FleetConfig aSheet)
 {
   aSheet.version = aOld.version;
+  // The sheet is planned ahead and must not end an operator's evacuation.
+  aSheet.evacuated = aOld.evacuated;
   for (const auto& entry : aOld.keys) {
     if (aSheet.accounts.count(entry.second.account) == 1) {
       aSheet.keys.insert(entry);
--- a/src/sapphirelane/config/sheet_test.cpp
+++ b/src/sapphirelane/config/sheet_test.cpp
@@ -113,6 +113,16 @@
   CHECK(next.keys.count("kb") == 0);
 }
 
+/// Guards against a sheet, planned before, that ends an evacuation.
+TEST_CASE_METHOD(SheetFixture,
+                 "Replace, evacuated data centre, stays evacuated")
+{
+  FleetConfig old = ReadSheet("s.csv", Sheet(m_sound));
+  old.evacuated = { "north" };
+  const FleetConfig next = Replace(old, ReadSheet("s.csv", Sheet(m_sound)));
+  CHECK(next.evacuated == old.evacuated);
+}
+
 TEST_CASE_METHOD(SheetFixture,
                  "ReadSheet, byte order mark before the first column, reads "
                  "the sheet")
--- a/src/sapphirelane/programs/ctl.cpp
+++ b/src/sapphirelane/programs/ctl.cpp
@@ -57,6 +57,8 @@
   upstream leave ID | upstream return ID
   route set ID PATH SERVICE MODE ACCESS TIMEOUT_MS [ACCOUNT...]
   host set ID STATE                     in-service or leaving
+  evacuate DATA-CENTRE                  send nothing to its upstreams
+  restore DATA-CENTRE                   end that
   KIND remove ID                        account, service, upstream, route, host
 
 Exit codes: 0 done, 1 failed, 2 usage, 3 the sheet has errors, 4 refused,
@@ -190,6 +192,13 @@
     if (first == "key") {
       return Key(aWords);
     }
+    if (first == "evacuate" || first == "restore") {
+      const std::string& name = Word(aWords, 1, "DATA-CENTRE");
+      return Edit([&](FleetConfig& aConfig) {
+        const json row = first == "evacuate" ? json::object() : json();
+        SetRow(aConfig, "evacuations/" + name, row);
+      });
+    }
     return Change(aWords);
   }
 
