Follow a store that comes back from an older copy

Cause: a store that is rolled back gives version numbers out again. Daemons ignored what was written then until the numbers passed those they knew, continued reads at a version with another meaning, and did not write their own rows again.

Change: StoreVersion holds the era that the store names and the number, and orders by the era first; it replaces the plain number in reads, views and messages. The first read of each table in a new era is whole. Entries that are missing then are held as after an outage. An endpoint that was leaving or gone before stays so for 6 s although the copy lists it, unless it has been started anew: the copy may be older than its end. The daemon's own row is written again.

Ruled out: asking the highest number again after each rollback, as numbers of the new era soon pass those of the old one.

--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -13,6 +13,7 @@
 #include "sapphirelane/base/time.h"
 #include "sapphirelane/claims/claim_table.h"
 #include "sapphirelane/config/fleet.h"
+#include "sapphirelane/wire/store_version.h"
 
 namespace sapphirelane {
 
@@ -118,9 +119,9 @@
 /// @brief Version and source of a daemon's view of the endpoints.
 struct ViewState
 {
-  std::uint64_t version = 0; ///< Store version up to which it is complete.
-  Duration age{ 0 };         ///< Time since it matched the store.
-  std::string source;        ///< "store", or the daemon that refreshed it.
+  StoreVersion version; ///< Store version up to which it is complete.
+  Duration age{ 0 };    ///< Time since it matched the store.
+  std::string source;   ///< "store", or the daemon that refreshed it.
 };
 
 using ControlEvent = std::variant<TokenResult,
--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -25,13 +25,21 @@
   /// live endpoint whose entry expired during the outage writes it again
   /// within 2 s.
   Duration hold_gone = Milliseconds(2200);
+  /// How long after a rollback of the store an endpoint that was leaving or
+  /// gone before it stays so, although the store lists it as ready: its entry
+  /// may be from before it left. An endpoint rewrites its entry every 1.5 s,
+  /// and the store removes an entry after three of these intervals.
+  Duration distrust_returned = Milliseconds(6000);
 };
 
 /// @brief This daemon's replica of the store: configuration and endpoints.
 ///
 /// Updates come from own reads of the store and from other daemons, in any
 /// order and more than once. They are idempotent, and the highest version wins:
-/// a configuration or an entry with a lower version is ignored.
+/// a configuration or an entry with a lower version is ignored. After a
+/// rollback of the store, versions of its new era are the higher ones; what
+/// this daemon knows from before stays in force until the operator and the
+/// endpoints have had the time to write it again.
 class FleetView
 {
 public:
@@ -42,7 +50,7 @@
   bool TakeConfig(FleetConfig aConfig);
 
   /// @brief Applies endpoints read from the store or fetched from a peer.
-  /// @param aBase Store version that the changes follow on; 0 if they are a
+  /// @param aBase Store version that the changes follow on; none if they are a
   /// full snapshot.
   /// @param aVersion Store version after the changes.
   /// @param aAge Time since the store was read.
@@ -50,8 +58,8 @@
   /// The changes are applied nevertheless, but neither the version nor the age
   /// of the view advances. Changes of an older state than the view's are not
   /// applied.
-  bool TakeEndpoints(std::uint64_t aBase,
-                     std::uint64_t aVersion,
+  bool TakeEndpoints(StoreVersion aBase,
+                     StoreVersion aVersion,
                      const std::vector<EndpointChange>& aChanges,
                      Duration aAge,
                      TimePoint aNow);
@@ -65,7 +73,7 @@
   /// @param aDigest Digest of that view.
   /// @param aAge Age of that view.
   /// @return False if this view still lacks changes.
-  bool TakeUpdate(std::uint64_t aVersion,
+  bool TakeUpdate(StoreVersion aVersion,
                   std::uint64_t aDigest,
                   const std::vector<EndpointChange>& aChanges,
                   Duration aAge,
@@ -77,12 +85,15 @@
   std::vector<EndpointChange> ChangesSince(TimePoint aTime) const;
 
   /// @brief Changes of routing that follow on a version of the store.
-  std::vector<EndpointChange> ChangesAfter(std::uint64_t aVersion) const;
+  std::vector<EndpointChange> ChangesAfter(StoreVersion aVersion) const;
 
   /// @brief Hash of what the entries say about routing, regardless of their
   /// versions. Equal for daemons that know the same state of the store.
   std::uint64_t Digest() const { return m_digest; }
 
+  /// @brief The newest era of the store that any daemon is known to have seen.
+  std::uint64_t Era() const { return m_era; }
+
   /// @brief Returns and clears the changes by which endpoints began to leave or
   /// were removed since the last call.
   std::vector<EndpointChange> TakeDepartures();
@@ -96,7 +107,7 @@
   std::uint64_t ConfigVersion() const;
 
   /// @brief Store version up to which all endpoint changes are known.
-  std::uint64_t Version() const { return m_version; }
+  StoreVersion Version() const { return m_version; }
 
   /// @brief Time since the view was last known to match the store.
   Duration Age(TimePoint aNow) const;
@@ -108,41 +119,66 @@
 private:
   struct Entry
   {
-    std::uint64_t version = 0;
+    StoreVersion version;
     std::optional<Endpoint> endpoint;
     /// Set if the entry was removed but is still in use until then.
     std::optional<TimePoint> remove_at;
-    TimePoint changed_at{};            ///< When its routing last changed here.
-    std::uint64_t routing_version = 0; ///< Version of that change, or later.
-    std::uint64_t digest = 0;          ///< Its part of m_digest.
+    /// What the store holds after a rollback, if it is not trusted yet.
+    std::optional<Endpoint> distrusted;
+    std::uint64_t gone_lifetime = 0; ///< Of the endpoint that is gone.
+    /// Era of the store in which the endpoint was leaving or gone.
+    std::uint64_t departed_era = 0;
+    TimePoint changed_at{};       ///< When its routing last changed here.
+    StoreVersion routing_version; ///< Version of that change, or later.
+    std::uint64_t digest = 0;     ///< Its part of m_digest.
 
     /// The entry in the store.
     std::optional<Endpoint> Stored() const
     {
+      if (distrusted) {
+        return distrusted;
+      }
       return remove_at ? std::nullopt : endpoint;
     }
+
+    /// Whether the endpoint's process is known to leave or to be gone.
+    bool HasDeparted(std::uint64_t aLifetime) const
+    {
+      const bool leaves = endpoint && endpoint->state == LifeState::Leaving &&
+                          endpoint->lifetime == aLifetime;
+      return leaves ||
+             (!endpoint && gone_lifetime != 0 && gone_lifetime == aLifetime);
+    }
   };
 
+  void RaiseEra(StoreVersion aVersion, TimePoint aNow);
+  bool Distrusts(const Entry& aEntry,
+                 const EndpointChange& aChange,
+                 TimePoint aNow) const;
+  bool TrustReturned();
+  bool RemoveHeld(TimePoint aNow);
   void RecordContact(TimePoint aAsOf, TimePoint aNow);
   bool ApplyChanges(const std::vector<EndpointChange>& aChanges,
                     TimePoint aNow);
   bool ApplyChange(const EndpointChange& aChange, TimePoint aNow);
   void UpdateDigest(const std::string& aId, Entry& aEntry, TimePoint aNow);
   EndpointChange ChangeOf(const std::string& aId, const Entry& aEntry) const;
-  void Refresh(std::uint64_t aVersion, TimePoint aAsOf);
+  void Refresh(StoreVersion aVersion, TimePoint aAsOf);
   bool RemoveMissing(const std::vector<EndpointChange>& aSnapshot,
-                     std::uint64_t aVersion,
+                     StoreVersion aVersion,
                      TimePoint aNow);
   bool RemoveEndpoint(const std::string& aId,
                       Entry& aEntry,
-                      std::uint64_t aVersion,
+                      StoreVersion aVersion,
                       TimePoint aNow);
   void Rebuild();
 
   FleetViewOptions m_options;
   std::optional<FleetConfig> m_config;
   std::map<std::string, Entry> m_entries;
-  std::uint64_t m_version = 0;
+  StoreVersion m_version;
+  std::uint64_t m_era = 0;      ///< See Era.
+  TimePoint m_distrustUntil{};  ///< See FleetViewOptions::distrust_returned.
   std::uint64_t m_revision = 0; ///< Local counter of endpoint changes.
   std::uint64_t m_digest = 0;   ///< See Digest.
   TimePoint m_asOf{};
--- a/include/sapphirelane/relay/source_call.h
+++ b/include/sapphirelane/relay/source_call.h
@@ -23,9 +23,9 @@
   };
 
   Kind kind = Kind::ReadEndpoints;
-  /// For ReadEndpoints and ReadConfig: version of the previous batch, 0 for a
-  /// full read.
-  std::uint64_t after = 0;
+  /// For ReadEndpoints and ReadConfig: version of the previous batch, none for
+  /// a full read.
+  StoreVersion after;
   HostEntry host; ///< For WriteHost and RemoveHost.
 };
 
@@ -34,9 +34,9 @@
 {
   SourceCall::Kind kind = SourceCall::Kind::ReadEndpoints;
   bool answered = false;
-  std::string error;       ///< Set if not answered.
-  TimePoint asked{};       ///< When the call was started.
-  std::uint64_t after = 0; ///< See SourceCall.
+  std::string error;  ///< Set if not answered.
+  TimePoint asked{};  ///< When the call was started.
+  StoreVersion after; ///< See SourceCall.
   EndpointBatch endpoints;
   ConfigBatch config;
   std::vector<HostEntry> hosts;
--- a/include/sapphirelane/relay/store_fleet.h
+++ b/include/sapphirelane/relay/store_fleet.h
@@ -61,7 +61,8 @@
   Duration view_age{ 0 };
   std::size_t live = 1;    ///< Live daemons, this one included.
   std::size_t counted = 1; ///< Members: live daemons and those missing lately.
-  bool store_answers = false; ///< The latest store call succeeded.
+  bool store_answers = false;  ///< The latest store call succeeded.
+  std::uint64_t store_era = 0; ///< Newest era of the store that is known.
 };
 
 /// @brief Daemon in a fleet whose configuration and endpoints come from an
--- a/include/sapphirelane/store/fleet_source.h
+++ b/include/sapphirelane/store/fleet_source.h
@@ -10,6 +10,7 @@
 #include "sapphirelane/base/registry.h"
 #include "sapphirelane/config/fleet.h"
 #include "sapphirelane/config/settings.h"
+#include "sapphirelane/wire/store_version.h"
 
 namespace sapphirelane {
 
@@ -17,7 +18,7 @@
 struct EndpointChange
 {
   std::string id;
-  std::uint64_t version = 0;        ///< Of the entry.
+  StoreVersion version;             ///< Of the entry.
   std::optional<Endpoint> endpoint; ///< Empty if it was removed or is unusable.
 };
 
@@ -26,14 +27,14 @@
 {
   /// The changes are a full snapshot: endpoints that are not in it are gone.
   bool whole = false;
-  std::uint64_t version = 0; ///< Store version; where the next read continues.
+  StoreVersion version; ///< Store version; where the next read continues.
   std::vector<EndpointChange> changes;
 };
 
 /// @brief A configuration read from a store.
 struct ConfigBatch
 {
-  std::uint64_t version = 0; ///< Store version; where the next read continues.
+  StoreVersion version; ///< Store version; where the next read continues.
   std::optional<FleetConfig> config; ///< Without endpoints; empty if unchanged.
 };
 
@@ -61,12 +62,13 @@
   virtual void Adjust(EntrySettings& /*aSettings*/) const {}
 
   /// @brief Reads the endpoints that changed since a version.
-  /// @param aAfter Version of the previous batch; 0 for a full snapshot.
-  virtual EndpointBatch ReadEndpoints(std::uint64_t aAfter) = 0;
+  /// @param aAfter Version of the previous batch; none for a full snapshot.
+  /// The batch is a full snapshot too if the store has begun another era since.
+  virtual EndpointBatch ReadEndpoints(StoreVersion aAfter) = 0;
 
   /// @brief Reads the configuration if it changed since a version.
-  /// @param aAfter Version of the previous batch; 0 to read it in any case.
-  virtual ConfigBatch ReadConfig(std::uint64_t aAfter) = 0;
+  /// @param aAfter Version of the previous batch; none to read it in any case.
+  virtual ConfigBatch ReadConfig(StoreVersion aAfter) = 0;
 
   virtual std::vector<HostEntry> ReadHosts() = 0;
   virtual void WriteHost(const HostEntry& aHost) = 0;
--- a/include/sapphirelane/store/http_client.h
+++ b/include/sapphirelane/store/http_client.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIRELANE_STORE_HTTP_CLIENT_H
 #define SAPPHIRELANE_STORE_HTTP_CLIENT_H
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
 {
   int status = 0;
   std::string body;
+  std::map<std::string, std::string> headers; ///< By name in lower case.
 };
 
 /// @brief Blocking HTTP client for one server. Not thread-safe.
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -6,6 +6,8 @@
 #include <variant>
 #include <vector>
 
+#include "sapphirelane/wire/store_version.h"
+
 namespace sapphirelane {
 
 /// @brief One run of one daemon; a restarted daemon has a new one.
@@ -480,7 +482,7 @@
 struct WireEndpoint
 {
   std::string id;
-  std::uint64_t version = 0; ///< Of its row.
+  StoreVersion version; ///< Of its row.
   bool gone = false;
   bool leaving = false;
   std::string service;
@@ -515,7 +517,7 @@
   NodeId origin = 0;         ///< The daemon whose view it describes.
   std::uint64_t sent_ms = 0; ///< Uptime of the origin when it was sent.
   std::uint32_t age_ms = 0;  ///< Of the origin's view at that time.
-  std::uint64_t version = 0; ///< Of the origin's view.
+  StoreVersion version;      ///< Of the origin's view.
   std::uint64_t digest = 0;  ///< Of the origin's view, see FleetView::Digest.
   bool last = true;          ///< No further part of the update follows.
   std::vector<WireEndpoint> changes; ///< Recent ones.
@@ -777,7 +779,7 @@
 struct FetchView
 {
   std::uint64_t config_version = 0; ///< What the asker has; 0 for nothing.
-  std::uint64_t view_version = 0;   ///< Of its endpoints; 0 for nothing.
+  StoreVersion view_version;        ///< Of its endpoints; none for nothing.
   std::string address;              ///< Of the asker.
 
   template<typename Archive>
@@ -795,11 +797,11 @@
   /// address of a daemon that may answer, if it knows one.
   bool busy = false;
   std::string other;
-  std::uint32_t age_ms = 0;  ///< Since the store was asked.
-  std::uint64_t version = 0; ///< Of the endpoints.
-  std::uint64_t digest = 0;  ///< Of the view, see FleetView::Digest.
-  std::uint64_t base = 0;    ///< Version that the endpoints follow on.
-  std::vector<WireEndpoint> endpoints; ///< All of them if base is 0.
+  std::uint32_t age_ms = 0; ///< Since the store was asked.
+  StoreVersion version;     ///< Of the endpoints.
+  std::uint64_t digest = 0; ///< Of the view, see FleetView::Digest.
+  StoreVersion base;        ///< Version that the endpoints follow on.
+  std::vector<WireEndpoint> endpoints; ///< All of them if base is none.
   /// See EncodeFleet, or a ConfigHistory difference; empty if the asker has it.
   std::string config;
   std::uint64_t config_base = 0; ///< Of the difference; 0 for a whole text.
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -1466,7 +1466,7 @@
     fields.Add("config", m_control.Config()->version);
     const auto view = m_control.View(aNow);
     if (view) {
-      fields.Add("view_version", view->version)
+      fields.Add("view_version", view->version.Text())
         .Add("view_age_ms", view->age)
         .Add("view_from", view->source);
     }
--- a/src/sapphirelane/proxy/entry_app_test.cpp
+++ b/src/sapphirelane/proxy/entry_app_test.cpp
@@ -41,15 +41,15 @@
   {
   }
 
-  EndpointBatch ReadEndpoints(std::uint64_t aAfter) override
+  EndpointBatch ReadEndpoints(StoreVersion aAfter) override
   {
     EndpointBatch batch;
-    batch.whole = aAfter == 0;
+    batch.whole = aAfter.IsNone();
     batch.version = 1;
     return batch;
   }
 
-  ConfigBatch ReadConfig(std::uint64_t /*aAfter*/) override
+  ConfigBatch ReadConfig(StoreVersion /*aAfter*/) override
   {
     if (++m_reads > 1) {
       s_secondReadStarted = true;
@@ -127,10 +127,10 @@
   {
   }
 
-  EndpointBatch ReadEndpoints(std::uint64_t aAfter) override
+  EndpointBatch ReadEndpoints(StoreVersion aAfter) override
   {
     EndpointBatch batch;
-    batch.whole = aAfter == 0;
+    batch.whole = aAfter.IsNone();
     batch.version = 1;
     if (batch.whole) {
       Endpoint endpoint;
@@ -143,11 +143,11 @@
     return batch;
   }
 
-  ConfigBatch ReadConfig(std::uint64_t aAfter) override
+  ConfigBatch ReadConfig(StoreVersion aAfter) override
   {
     ConfigBatch batch;
     batch.version = 1;
-    if (aAfter == 0) {
+    if (aAfter.IsNone()) {
       FleetConfig config;
       config.version = 1;
       config.services["s"] = { "s", 50, 100 };
--- a/src/sapphirelane/proxy/store_fleet_runtime.cpp
+++ b/src/sapphirelane/proxy/store_fleet_runtime.cpp
@@ -101,6 +101,7 @@
     aMetrics.Set("members", {}, static_cast<double>(status.live));
     aMetrics.Set("members_counted", {}, static_cast<double>(status.counted));
     aMetrics.Set("platform_answers", {}, status.store_answers ? 1 : 0);
+    aMetrics.Set("store_era", {}, static_cast<double>(status.store_era));
   }
 
   void BeginStop(TimePoint /*aNow*/) override {} // Done by Announce.
@@ -123,7 +124,8 @@
                 : nlohmann::json() },
       { "members", status.live },
       { "members_counted", status.counted },
-      { "platform_answers", status.store_answers }
+      { "platform_answers", status.store_answers },
+      { "store_era", status.store_era }
     };
     return JsonReply(200, body.dump());
   }
--- a/src/sapphirelane/relay/discovery.cpp
+++ b/src/sapphirelane/relay/discovery.cpp
@@ -59,6 +59,15 @@
   }
 }
 
+void
+Discovery::SetStoreEra(std::uint64_t aEra)
+{
+  if (aEra > m_storeEra) {
+    m_storeEra = aEra;
+    m_entryWritten = false;
+  }
+}
+
 void
 Discovery::Tick(Duration aUptime, TimePoint aNow)
 {
--- a/src/sapphirelane/relay/discovery.h
+++ b/src/sapphirelane/relay/discovery.h
@@ -28,6 +28,10 @@
             PeerBook& aPeers,
             Random& aRandom);
 
+  /// @brief Sets the newest era of the store. When it rises, this daemon's
+  /// entry may be gone and is written again.
+  void SetStoreEra(std::uint64_t aEra);
+
   /// @brief Makes the store calls that are due.
   void Tick(Duration aUptime, TimePoint aNow);
 
@@ -67,6 +71,7 @@
   TimePoint m_nextAskInterval{};
   int m_asks = 0; ///< In this interval.
   bool m_entryWritten = false;
+  std::uint64_t m_storeEra = 0;
   bool m_hostsRead = false; ///< Since it was last alone.
 };
 
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -63,17 +63,18 @@
 }
 
 bool
-FleetView::TakeEndpoints(std::uint64_t aBase,
-                         std::uint64_t aVersion,
+FleetView::TakeEndpoints(StoreVersion aBase,
+                         StoreVersion aVersion,
                          const std::vector<EndpointChange>& aChanges,
                          Duration aAge,
                          TimePoint aNow)
 {
   RecordContact(aNow - aAge, aNow);
+  RaiseEra(aVersion, aNow);
   bool changed = false;
   if (aVersion >= m_version) {
     changed = ApplyChanges(aChanges, aNow);
-    if (aBase == 0) {
+    if (aBase.IsNone()) {
       changed = RemoveMissing(aChanges, aVersion, aNow) || changed;
     }
   }
@@ -89,13 +90,14 @@
 }
 
 bool
-FleetView::TakeUpdate(std::uint64_t aVersion,
+FleetView::TakeUpdate(StoreVersion aVersion,
                       std::uint64_t aDigest,
                       const std::vector<EndpointChange>& aChanges,
                       Duration aAge,
                       TimePoint aNow)
 {
   RecordContact(aNow - aAge, aNow);
+  RaiseEra(aVersion, aNow);
   // A complete view holds what followed on older changes, even if the versions
   // of its entries are lower.
   std::vector<EndpointChange> newer;
@@ -118,8 +120,37 @@
   return complete;
 }
 
+/// Notes that the store has been rolled back. Entries that are missing now may
+/// only not have been written again yet, as after an outage.
 void
-FleetView::Refresh(std::uint64_t aVersion, TimePoint aAsOf)
+FleetView::RaiseEra(StoreVersion aVersion, TimePoint aNow)
+{
+  if (aVersion.era <= m_era) {
+    return;
+  }
+  m_era = aVersion.era;
+  if (m_version.IsNone()) {
+    return; // Nothing is known from before.
+  }
+  m_recoveredAt = aNow;
+  m_distrustUntil = aNow + m_options.distrust_returned;
+}
+
+/// Whether a change may be from before the departure of its endpoint, which was
+/// known in an earlier era: it is of the copy that the store was rolled back
+/// to.
+bool
+FleetView::Distrusts(const Entry& aEntry,
+                     const EndpointChange& aChange,
+                     TimePoint aNow) const
+{
+  return aNow < m_distrustUntil && aEntry.departed_era < aChange.version.era &&
+         aChange.endpoint->state == LifeState::InService &&
+         aEntry.HasDeparted(aChange.endpoint->lifetime);
+}
+
+void
+FleetView::Refresh(StoreVersion aVersion, TimePoint aAsOf)
 {
   m_version = std::max(m_version, aVersion);
   m_asOf = std::max(m_asOf, aAsOf);
@@ -164,7 +195,7 @@
   aEntry.digest = digest;
   aEntry.routing_version = aEntry.version;
   // A first snapshot is news to nobody.
-  aEntry.changed_at = m_version > 0 ? aNow : TimePoint{};
+  aEntry.changed_at = m_version.IsNone() ? TimePoint{} : aNow;
 }
 
 /// An entry for another daemon. Its state is known to be current at the view's
@@ -188,7 +219,7 @@
 }
 
 std::vector<EndpointChange>
-FleetView::ChangesAfter(std::uint64_t aVersion) const
+FleetView::ChangesAfter(StoreVersion aVersion) const
 {
   std::vector<EndpointChange> changes;
   for (const auto& [id, entry] : m_entries) {
@@ -209,13 +240,23 @@
   if (!aChange.endpoint) {
     return RemoveEndpoint(aChange.id, entry, aChange.version, aNow);
   }
+  const Endpoint& next = *aChange.endpoint;
+  if (Distrusts(entry, aChange, aNow)) {
+    entry.version = aChange.version;
+    entry.distrusted = next;
+    UpdateDigest(aChange.id, entry, aNow);
+    return false;
+  }
   entry.version = aChange.version;
   entry.remove_at.reset();
-  const Endpoint& next = *aChange.endpoint;
+  entry.distrusted.reset();
   const bool same = entry.endpoint && HasSameRouting(*entry.endpoint, next);
   if (!same && next.state == LifeState::Leaving) {
     m_departures.push_back(aChange);
   }
+  if (next.state == LifeState::Leaving) {
+    entry.departed_era = aChange.version.era;
+  }
   entry.endpoint = next;
   UpdateDigest(aChange.id, entry, aNow);
   return !same;
@@ -227,10 +268,15 @@
 bool
 FleetView::RemoveEndpoint(const std::string& aId,
                           Entry& aEntry,
-                          std::uint64_t aVersion,
+                          StoreVersion aVersion,
                           TimePoint aNow)
 {
   aEntry.version = aVersion;
+  aEntry.distrusted.reset();
+  if (aEntry.endpoint) {
+    aEntry.gone_lifetime = aEntry.endpoint->lifetime;
+    aEntry.departed_era = aVersion.era;
+  }
   if (aEntry.endpoint && !aEntry.remove_at) {
     m_departures.push_back({ aId, aVersion, std::nullopt });
   }
@@ -253,7 +299,7 @@
 
 bool
 FleetView::RemoveMissing(const std::vector<EndpointChange>& aSnapshot,
-                         std::uint64_t aVersion,
+                         StoreVersion aVersion,
                          TimePoint aNow)
 {
   std::set<std::string> present;
@@ -262,8 +308,8 @@
   }
   bool changed = false;
   for (auto& [id, entry] : m_entries) {
-    const bool missing = present.count(id) == 0 && entry.endpoint &&
-                         entry.version <= aVersion && !entry.remove_at;
+    const bool missing =
+      present.count(id) == 0 && entry.Stored() && entry.version <= aVersion;
     if (missing) {
       changed = RemoveEndpoint(id, entry, aVersion, aNow) || changed;
     }
@@ -279,9 +325,41 @@
 
 void
 FleetView::Tick(TimePoint aNow)
+{
+  bool changed = false;
+  if (m_distrustUntil != TimePoint{} && aNow >= m_distrustUntil) {
+    m_distrustUntil = TimePoint{};
+    changed = TrustReturned();
+  }
+  changed = RemoveHeld(aNow) || changed;
+  if (changed) {
+    ++m_revision;
+    Rebuild();
+  }
+}
+
+/// Takes over what the store has listed since its rollback.
+bool
+FleetView::TrustReturned()
+{
+  bool changed = false;
+  for (auto& item : m_entries) {
+    Entry& entry = item.second;
+    if (entry.distrusted) {
+      entry.endpoint = std::exchange(entry.distrusted, std::nullopt);
+      entry.remove_at.reset();
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+/// Removes the endpoints whose hold time has ended.
+bool
+FleetView::RemoveHeld(TimePoint aNow)
 {
   if (aNow < m_nextRemoval) {
-    return;
+    return false;
   }
   m_nextRemoval = TimePoint::max();
   bool changed = false;
@@ -295,10 +373,7 @@
       m_nextRemoval = std::min(m_nextRemoval, *entry.remove_at);
     }
   }
-  if (changed) {
-    ++m_revision;
-    Rebuild();
-  }
+  return changed;
 }
 
 void
@@ -324,7 +399,7 @@
 const FleetConfig*
 FleetView::Config() const
 {
-  return m_config && m_version > 0 ? &*m_config : nullptr;
+  return m_config && !m_version.IsNone() ? &*m_config : nullptr;
 }
 
 std::uint64_t
--- a/src/sapphirelane/relay/fleet_view_test.cpp
+++ b/src/sapphirelane/relay/fleet_view_test.cpp
@@ -19,7 +19,7 @@
   }
 
   static EndpointChange Listed(const std::string& aId,
-                               std::uint64_t aVersion,
+                               StoreVersion aVersion,
                                LifeState aState = LifeState::InService)
   {
     Endpoint endpoint;
@@ -27,16 +27,17 @@
     endpoint.service = "s";
     endpoint.state = aState;
     endpoint.address = "10.0.0.1:80";
+    endpoint.lifetime = 1;
     return { aId, aVersion, endpoint };
   }
 
-  static EndpointChange Removed(const std::string& aId, std::uint64_t aVersion)
+  static EndpointChange Removed(const std::string& aId, StoreVersion aVersion)
   {
     return { aId, aVersion, std::nullopt };
   }
 
-  bool Apply(std::uint64_t aBase,
-             std::uint64_t aVersion,
+  bool Apply(StoreVersion aBase,
+             StoreVersion aVersion,
              const std::vector<EndpointChange>& aChanges)
   {
     return m_view.TakeEndpoints(aBase, aVersion, aChanges, Duration(0), m_now);
@@ -101,6 +102,92 @@
   });
 }
 
+/// Guards against entries that are ignored after a rollback of the store, as
+/// their version numbers were given out before.
+TEST_CASE_METHOD(ViewFixture,
+                 "FleetView, store is rolled back, entries of the new era "
+                 "replace those of the old one",
+                 "[era]")
+{
+  Apply({ 1, 0 }, { 1, 100 }, { Listed("a", { 1, 90 }) });
+  Apply({}, { 2, 50 }, { Listed("a", { 2, 50 }, LifeState::Leaving) });
+  CHECK(m_view.Version() == StoreVersion(2, 50));
+  CHECK(m_view.Config()->endpoints.at("a").state == LifeState::Leaving);
+  // What another daemon read before the rollback changes nothing any more.
+  Apply({ 1, 100 }, { 1, 120 }, { Listed("a", { 1, 110 }) });
+  CHECK(m_view.Config()->endpoints.at("a").state == LifeState::Leaving);
+}
+
+/// Guards against requests to an endpoint that has left: the copy that the
+/// store came back from is older than its departure.
+TEST_CASE_METHOD(ViewFixture,
+                 "FleetView, store is rolled back to before a departure, keeps "
+                 "the endpoint out",
+                 "[era]")
+{
+  Apply(
+    {}, { 1, 100 }, { Listed("leaves", { 1, 90 }), Listed("ends", { 1, 91 }) });
+  Apply({ 1, 100 },
+        { 1, 110 },
+        { Listed("leaves", { 1, 105 }, LifeState::Leaving),
+          Removed("ends", { 1, 106 }) });
+  const std::vector<EndpointChange> copy = { Listed("leaves", { 2, 90 }),
+                                             Listed("ends", { 2, 91 }) };
+  Apply({}, { 2, 100 }, copy);
+  CHECK(m_view.Config()->endpoints.at("leaves").state == LifeState::Leaving);
+  CHECK_FALSE(Has("ends"));
+  // The same entries, as another daemon sends them again.
+  Apply({}, { 2, 104 }, copy);
+  CHECK(m_view.Config()->endpoints.at("leaves").state == LifeState::Leaving);
+  CHECK_FALSE(Has("ends"));
+  // Equal views of the store have equal digests, whatever is trusted.
+  FleetView other({});
+  other.TakeEndpoints({}, { 2, 104 }, copy, Duration(0), m_now);
+  CHECK(other.Digest() == m_view.Digest());
+
+  SECTION("an entry that stays is trusted after a while")
+  {
+    m_now += std::chrono::seconds(7);
+    m_view.Tick(m_now);
+    CHECK(m_view.Config()->endpoints.at("leaves").state ==
+          LifeState::InService);
+    CHECK(Has("ends"));
+  }
+  SECTION("an entry that ends meanwhile does not come back")
+  {
+    Apply({ 2, 104 }, { 2, 106 }, { Removed("ends", { 2, 105 }) });
+    m_now += std::chrono::seconds(7);
+    m_view.Tick(m_now);
+    CHECK_FALSE(Has("ends"));
+  }
+  SECTION("a later start of the endpoint is trusted at once")
+  {
+    EndpointChange restarted = Listed("ends", { 2, 105 });
+    restarted.endpoint->lifetime = 2;
+    Apply({ 2, 104 }, { 2, 106 }, { restarted });
+    CHECK(Has("ends"));
+  }
+}
+
+/// Guards against endpoints that get no requests because their entries, written
+/// since the copy was made, are not written again yet.
+TEST_CASE_METHOD(ViewFixture,
+                 "FleetView, entry is missing after a rollback of the store, "
+                 "stays in use for the hold time",
+                 "[era]")
+{
+  Apply({}, { 1, 100 }, { Listed("a", { 1, 90 }), Listed("b", { 1, 95 }) });
+  Apply({}, { 2, 92 }, { Listed("a", { 2, 90 }) });
+  CHECK(Has("b"));
+  m_now += Milliseconds(2300);
+  m_view.Tick(m_now);
+  CHECK(Has("a"));
+  CHECK_FALSE(Has("b"));
+  // It was only late.
+  Apply({ 2, 92 }, { 2, 99 }, { Listed("b", { 2, 99 }) });
+  CHECK(Has("b"));
+}
+
 TEST_CASE_METHOD(ViewFixture,
                  "FleetView, full snapshot without an endpoint, removes it")
 {
--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -135,6 +135,25 @@
     return count;
   }
 
+  /// Copies the store, for RollBack.
+  void CopyStore()
+  {
+    m_copy = { m_endpoints, m_hosts, m_config, m_version, m_configVersion };
+  }
+
+  /// Brings the store back from its copy, in a new era.
+  void RollBack()
+  {
+    ++m_era;
+    m_endpoints = m_copy.endpoints;
+    m_hosts = m_copy.hosts;
+    m_config = m_copy.config;
+    m_version = m_copy.version;
+    m_configVersion = m_copy.config_version;
+  }
+
+  std::size_t ListedHosts() const { return m_hosts.size(); }
+
   void SetConfig(std::uint64_t aVersion)
   {
     m_config.version = aVersion;
@@ -573,6 +592,22 @@
     });
   }
 
+  /// The store's contents at an earlier moment.
+  struct StoreCopy
+  {
+    std::map<std::string, EndpointChange> endpoints;
+    std::map<std::string, HostEntry> hosts;
+    FleetConfig config;
+    std::uint64_t version = 1;
+    std::uint64_t config_version = 1;
+  };
+
+  /// Whether a read cannot continue where the one before it ended.
+  bool IsWhole(const SourceCall& aCall) const
+  {
+    return aCall.after.IsNone() || aCall.after.era != m_era;
+  }
+
   /// Makes a call at the store.
   /// @return Size of its answer in bytes.
   std::size_t CallStore(int aFrom,
@@ -583,20 +618,21 @@
     switch (aCall.kind) {
       case SourceCall::Kind::ReadEndpoints:
         m_lastReader = aFrom;
-        aResult.endpoints.whole = aCall.after == 0;
-        aResult.endpoints.version = m_version;
+        aResult.endpoints.whole = IsWhole(aCall);
+        aResult.endpoints.version = { m_era, m_version };
         for (const auto& entry : m_endpoints) {
-          const EndpointChange& change = entry.second;
-          if (change.version > aCall.after &&
-              (change.endpoint || aCall.after > 0)) {
+          EndpointChange change = entry.second;
+          change.version.era = m_era;
+          if (aResult.endpoints.whole ? change.endpoint.has_value()
+                                      : change.version > aCall.after) {
             aResult.endpoints.changes.push_back(change);
             bytes += kEntryBytes;
           }
         }
         break;
       case SourceCall::Kind::ReadConfig:
-        aResult.config.version = m_version;
-        if (m_configVersion > aCall.after) {
+        aResult.config.version = { m_era, m_version };
+        if (IsWhole(aCall) || m_configVersion > aCall.after.number) {
           aResult.config.config = m_config;
           bytes +=
             kItemBytes * (m_config.routes.size() + m_config.accounts.size());
@@ -627,6 +663,8 @@
   std::map<std::string, HostEntry> m_hosts;
   FleetConfig m_config;
   std::uint64_t m_version = 1;
+  std::uint64_t m_era = 0; ///< Times that the store was rolled back.
+  StoreCopy m_copy;
   std::uint64_t m_configVersion = 1;
   bool m_storeOutage = false;
   std::set<int> m_dropConfigRead; ///< Indices of daemons.
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -250,6 +250,7 @@
     m_peers.Tick(aNow);
     m_replica.Tick(aNow);
     m_retryHandover.Tick(aNow);
+    m_discovery.SetStoreEra(m_view.Era());
     m_discovery.Tick(m_replica.Uptime(aNow), aNow);
     if (aNow >= m_nextPresence) {
       m_nextPresence = aNow + kPresenceInterval;
@@ -327,6 +328,7 @@
     status.live = m_peers.Live(aNow);
     status.counted = m_peers.Counted(aNow);
     status.store_answers = m_storeAnswers;
+    status.store_era = m_view.Era();
     return status;
   }
 
@@ -380,7 +382,7 @@
             LogFields()
               .Add("config", config->version)
               .Add("endpoints", std::uint64_t{ config->endpoints.size() })
-              .Add("store_version", m_view.Version())
+              .Add("store_version", m_view.Version().Text())
               .Add("age_ms", m_view.Age(aNow))
               .Add("from", aFrom));
   }
--- a/src/sapphirelane/relay/store_fleet_test.cpp
+++ b/src/sapphirelane/relay/store_fleet_test.cpp
@@ -31,6 +31,86 @@
   CHECK(world.Calls() - before <= 80);
 }
 
+/// Guards against a fleet that ignores what is written after a rollback, as its
+/// version numbers were given out before; against requests to endpoints that
+/// left before it; and against daemons that cannot be found any more.
+TEST_CASE("StoreFleet, store is rolled back, all daemons follow it and keep "
+          "departures and the configuration",
+          "[era]")
+{
+  FleetWorld world(32, 3, true);
+  world.Advance(std::chrono::seconds(5));
+  for (int i = 0; i < 50; ++i) {
+    world.SetEndpoint("e1", LifeState::InService);
+  }
+  world.CopyStore();
+  world.Advance(std::chrono::seconds(1));
+  world.SetEndpoint("e2", LifeState::Leaving);
+  world.SetConfig(2);
+  world.Advance(std::chrono::seconds(2));
+  const auto keeps = [](StoreFleet& aFleet) {
+    const FleetConfig* config = aFleet.Config();
+    return config != nullptr && config->version == 2 &&
+           config->endpoints.at("e2").state == LifeState::Leaving;
+  };
+  CHECK(world.CountWithout(keeps) == 0);
+  world.SetStoreOutage(true);
+  world.Advance(std::chrono::seconds(1));
+  world.RollBack();
+  world.SetStoreOutage(false);
+  world.Advance(Milliseconds(500));
+  CHECK(world.CountWithout(keeps) == 0);
+  world.SetEndpoint("e0", LifeState::Leaving);
+  world.Advance(kUpdateTimeLimit);
+  CHECK(world.CountWithout(KnowsThatEndpointLeaves) == 0);
+  CHECK(world.CountWithout(keeps) == 0);
+  world.SetConfig(3);
+  world.Advance(kUpdateTimeLimit);
+  CHECK(world.CountWithout([](StoreFleet& aFleet) {
+    return aFleet.Config()->version == 3;
+  }) == 0);
+}
+
+/// Guards against a list of hosts that stays lost, so that daemons which start
+/// later find nobody.
+TEST_CASE("StoreFleet, store is rolled back to before daemons were listed, "
+          "lists them again",
+          "[era]")
+{
+  FleetWorld world(32, 3, true);
+  world.CopyStore();
+  world.Advance(std::chrono::seconds(8));
+  const std::size_t listed = world.ListedHosts();
+  CHECK(listed > 0);
+  world.RollBack();
+  CHECK(world.ListedHosts() == 0);
+  world.Advance(std::chrono::seconds(5));
+  CHECK(world.ListedHosts() >= listed);
+}
+
+/// Guards against two eras that are mixed: daemons that the store refuses learn
+/// of the new one from others only, and a tenth of the messages is lost.
+TEST_CASE("StoreFleet, store is rolled back while some daemons are refused and "
+          "messages are lost, all daemons follow it",
+          "[era]")
+{
+  FleetWorld world(32, 3, true);
+  world.Advance(std::chrono::seconds(5));
+  world.CopyStore();
+  FleetFaults faults;
+  faults.loss = 0.1;
+  world.SetFaults(faults);
+  for (int i = 0; i < 10; ++i) {
+    world.Refuse(3 * i);
+  }
+  world.Advance(std::chrono::seconds(2));
+  world.RollBack();
+  world.Advance(std::chrono::seconds(2));
+  world.SetEndpoint("e0", LifeState::Leaving);
+  world.Advance(std::chrono::seconds(3));
+  CHECK(world.CountWithout(KnowsThatEndpointLeaves) == 0);
+}
+
 TEST_CASE(
   "StoreFleet, many endpoints write heartbeats, causes no fetch of the view "
   "and hides no change")
--- a/src/sapphirelane/relay/view_keeper.cpp
+++ b/src/sapphirelane/relay/view_keeper.cpp
@@ -90,8 +90,8 @@
 
 /// Applies endpoints that were read from the store or fetched from a peer.
 void
-ViewReplica::ApplyEndpoints(std::uint64_t aBase,
-                            std::uint64_t aVersion,
+ViewReplica::ApplyEndpoints(StoreVersion aBase,
+                            StoreVersion aVersion,
                             const std::vector<EndpointChange>& aChanges,
                             Duration aAge,
                             const std::string& aSource,
@@ -123,8 +123,8 @@
                             : "An endpoint's entry is gone.",
             LogFields()
               .Add("endpoint", change.id)
-              .Add("entry_version", change.version)
-              .Add("view_version", m_view.Version())
+              .Add("entry_version", change.version.Text())
+              .Add("view_version", m_view.Version().Text())
               .Add("view_age_ms", m_view.Age(aNow))
               .Add("from", aSource));
   }
@@ -212,7 +212,7 @@
     return;
   }
   const EndpointBatch& batch = aResult.endpoints;
-  const std::uint64_t base = batch.whole ? 0 : aResult.after;
+  const StoreVersion base = batch.whole ? StoreVersion() : aResult.after;
   const Duration age = aNow - aResult.asked;
   const Duration ageBefore = m_view.Age(aNow);
   if (ageBefore > kMinLoggedAge && m_view.Config() != nullptr) {
@@ -405,7 +405,7 @@
   call.id = m_pendingFetch;
   call.address = aAddress;
   call.request = FetchView{ m_view.ConfigVersion(),
-                            m_fetchWhole ? 0 : m_view.Version(),
+                            m_fetchWhole ? StoreVersion() : m_view.Version(),
                             m_address };
   m_env.CallPeer(call);
 }
@@ -480,7 +480,7 @@
   m_referrals = 0;
   ApplyConfig(aReply);
   const Duration age = Milliseconds(aReply.age_ms) + (aNow - m_fetchStarted);
-  if (aReply.base == 0) {
+  if (aReply.base.IsNone()) {
     m_fetchWhole = false;
     m_lacksChanges = false;
     ApplyEndpoints(
@@ -513,7 +513,7 @@
   }
   LogLine("view",
           "The view was fetched.",
-          fields.Add("version", aReply->version)
+          fields.Add("version", aReply->version.Text())
             .Add("age_ms", std::uint64_t{ aReply->age_ms })
             .Add("endpoints", std::uint64_t{ aReply->endpoints.size() })
             .Add("config_bytes", std::uint64_t{ aReply->config.size() }));
@@ -581,8 +581,8 @@
   reply.digest = m_view.Digest();
   // A view that is newer than this one gets nothing that it could use.
   reply.base = std::min(aFetch.view_version, reply.version);
-  reply.endpoints = ToWire(reply.base == 0 ? m_view.Endpoints()
-                                           : m_view.ChangesAfter(reply.base));
+  reply.endpoints = ToWire(
+    reply.base.IsNone() ? m_view.Endpoints() : m_view.ChangesAfter(reply.base));
   const bool sendsConfig = config->version > aFetch.config_version;
   if (sendsConfig) {
     AddConfig(reply, aFetch.config_version);
--- a/src/sapphirelane/relay/view_keeper.h
+++ b/src/sapphirelane/relay/view_keeper.h
@@ -67,8 +67,8 @@
   ViewReply AnswerFetch(const FetchView& aFetch, TimePoint aNow);
 
 private:
-  void ApplyEndpoints(std::uint64_t aBase,
-                      std::uint64_t aVersion,
+  void ApplyEndpoints(StoreVersion aBase,
+                      StoreVersion aVersion,
                       const std::vector<EndpointChange>& aChanges,
                       Duration aAge,
                       const std::string& aSource,
@@ -112,7 +112,7 @@
   Duration m_readDuration{ 0 }; ///< Of the latest known read.
   bool m_readingConfig = false;
   bool m_readEndpointsNext = false; ///< After the configuration.
-  std::uint64_t m_configCursor = 0;
+  StoreVersion m_configCursor;
   std::uint64_t m_newestConfigVersion = 0; ///< Reported by a daemon.
   TimePoint m_nextConfigRead{};
   std::uint64_t m_lastCallId = 0;
--- a/src/sapphirelane/store/http_client.cpp
+++ b/src/sapphirelane/store/http_client.cpp
@@ -1,5 +1,8 @@
 #include "sapphirelane/store/http_client.h"
 
+#include <string_view>
+
+#include <absl/strings/ascii.h>
 #include <curl/curl.h>
 
 #include "sapphirelane/base/error.h"
@@ -48,6 +51,8 @@
     curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, aMethod.c_str());
     curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &CurlClient::OnBody);
     curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, &reply.body);
+    curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &CurlClient::OnHeader);
+    curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, &reply.headers);
     curl_slist* headers = curl_slist_append(nullptr, "Expect:");
     for (const std::string& header : aHeaders) {
       headers = curl_slist_append(headers, header.c_str());
@@ -74,6 +79,23 @@
     return aItemSize * aItems;
   }
 
+  static std::size_t OnHeader(char* aBytes,
+                              std::size_t aItemSize,
+                              std::size_t aItems,
+                              void* aHeaders)
+  {
+    const std::size_t size = aItemSize * aItems;
+    const std::string line(aBytes, size);
+    const std::size_t colon = line.find(':');
+    if (colon != std::string::npos) {
+      auto& headers =
+        *static_cast<std::map<std::string, std::string>*>(aHeaders);
+      headers[absl::AsciiStrToLower(line.substr(0, colon))] =
+        std::string(absl::StripAsciiWhitespace(line.substr(colon + 1)));
+    }
+    return size;
+  }
+
   std::string m_address;
   Milliseconds m_timeout;
   CURL* m_easy;
