--- a/include/sapphirelane/relay/store_fleet.h
+++ b/include/sapphirelane/relay/store_fleet.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_RELAY_STORE_FLEET_H
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -63,6 +64,8 @@
   std::size_t counted = 1; ///< Members: live daemons and those missing lately.
   bool store_answers = false;  ///< The latest store call succeeded.
   std::uint64_t store_era = 0; ///< Newest era of the store that is known.
+  /// Evacuated data centres, with the time for which this daemon has known.
+  std::map<std::string, Duration> evacuated;
 };
 
 /// @brief Daemon in a fleet whose configuration and endpoints come from an
--- a/include/sapphirelane/store/fleet_source.h
+++ b/include/sapphirelane/store/fleet_source.h
@@ -31,11 +31,28 @@
   std::vector<EndpointChange> changes;
 };
 
+/// @brief Version of an evacuation's row; the highest one wins.
+using EvacuationVersion = StoreVersion;
+
+/// @brief Beginning or end of the evacuation of a data centre.
+struct EvacuationChange
+{
+  std::string data_centre;
+  EvacuationVersion version; ///< Of the row, or of its removal.
+  bool evacuated = false;    ///< False: requests may be sent there again.
+};
+
 /// @brief A configuration read from a store.
 struct ConfigBatch
 {
   StoreVersion version; ///< Store version; where the next read continues.
   std::optional<FleetConfig> config; ///< Without endpoints; empty if unchanged.
+  /// There is a configuration that could not be decoded. The next read has to
+  /// continue where this one did.
+  bool unreadable = false;
+  /// The evacuations are a full snapshot: those not in it have ended.
+  bool whole = false;
+  std::vector<EvacuationChange> evacuations;
 };
 
 /// @brief Entry in the store under which a daemon is found by others.
@@ -66,7 +83,8 @@
   /// The batch is a full snapshot too if the store has begun another era since.
   virtual EndpointBatch ReadEndpoints(StoreVersion aAfter) = 0;
 
-  /// @brief Reads the configuration if it changed since a version.
+  /// @brief Reads the configuration and the evacuations that changed since a
+  /// version.
   /// @param aAfter Version of the previous batch; none to read it in any case.
   virtual ConfigBatch ReadConfig(StoreVersion aAfter) = 0;
 
--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -138,7 +138,8 @@
   /// Copies the store, for RollBack.
   void CopyStore()
   {
-    m_copy = { m_endpoints, m_hosts, m_config, m_version, m_configVersion };
+    m_copy = { m_endpoints, m_evacuations, m_hosts,
+               m_config,    m_version,     m_configVersion };
   }
 
   /// Brings the store back from its copy, in a new era.
@@ -146,6 +147,7 @@
   {
     ++m_era;
     m_endpoints = m_copy.endpoints;
+    m_evacuations = m_copy.evacuations;
     m_hosts = m_copy.hosts;
     m_config = m_copy.config;
     m_version = m_copy.version;
@@ -154,6 +156,13 @@
 
   std::size_t ListedHosts() const { return m_hosts.size(); }
 
+  /// Writes or removes the operator's row that evacuates a data centre. The
+  /// configuration itself does not change.
+  void SetEvacuated(const std::string& aCentre, bool aEvacuated)
+  {
+    m_evacuations[aCentre] = { aCentre, ++m_version, aEvacuated };
+  }
+
   void SetConfig(std::uint64_t aVersion)
   {
     m_config.version = aVersion;
@@ -596,6 +605,7 @@
   struct StoreCopy
   {
     std::map<std::string, EndpointChange> endpoints;
+    std::map<std::string, EvacuationChange> evacuations;
     std::map<std::string, HostEntry> hosts;
     FleetConfig config;
     std::uint64_t version = 1;
@@ -632,6 +642,15 @@
         break;
       case SourceCall::Kind::ReadConfig:
         aResult.config.version = { m_era, m_version };
+        aResult.config.whole = IsWhole(aCall);
+        for (const auto& entry : m_evacuations) {
+          EvacuationChange change = entry.second;
+          change.version.era = m_era;
+          if (IsWhole(aCall) ? change.evacuated
+                             : change.version > aCall.after) {
+            aResult.config.evacuations.push_back(change);
+          }
+        }
         if (IsWhole(aCall) || m_configVersion > aCall.after.number) {
           aResult.config.config = m_config;
           bytes +=
@@ -660,6 +679,7 @@
   std::unordered_map<std::string, int> m_indexByAddress;
   std::map<std::size_t, MessageCount> m_sent;
   std::map<std::string, EndpointChange> m_endpoints;
+  std::map<std::string, EvacuationChange> m_evacuations;
   std::map<std::string, HostEntry> m_hosts;
   FleetConfig m_config;
   std::uint64_t m_version = 1;
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -329,6 +329,9 @@
     status.counted = m_peers.Counted(aNow);
     status.store_answers = m_storeAnswers;
     status.store_era = m_view.Era();
+    for (const auto& [name, since] : m_view.Evacuations().InForce()) {
+      status.evacuated[name] = aNow - since;
+    }
     return status;
   }
 
--- a/src/sapphirelane/relay/store_fleet_test.cpp
+++ b/src/sapphirelane/relay/store_fleet_test.cpp
@@ -46,11 +46,13 @@
   world.CopyStore();
   world.Advance(std::chrono::seconds(1));
   world.SetEndpoint("e2", LifeState::Leaving);
+  world.SetEvacuated("centre-1", true);
   world.SetConfig(2);
   world.Advance(std::chrono::seconds(2));
   const auto keeps = [](StoreFleet& aFleet) {
     const FleetConfig* config = aFleet.Config();
     return config != nullptr && config->version == 2 &&
+           config->evacuated.count("centre-1") == 1 &&
            config->endpoints.at("e2").state == LifeState::Leaving;
   };
   CHECK(world.CountWithout(keeps) == 0);
