--- a/include/sapphirelane/relay/evacuation_table.h
+++ b/include/sapphirelane/relay/evacuation_table.h
@@ -21,6 +21,9 @@
   std::size_t max_entries = 512;
   /// Length of a data centre's name.
   std::size_t max_name_bytes = 255;
+  /// How long an evacuation stays in force that is missing after a rollback of
+  /// the store. The operator writes it again, unless it has been ended.
+  Duration hold_missing = Milliseconds(6000);
 };
 
 /// @brief Evacuations of data centres that a daemon knows of.
@@ -42,12 +45,19 @@
   bool Take(const std::vector<EvacuationChange>& aChanges, TimePoint aNow);
 
   /// @brief Applies a full snapshot: evacuations that are not in it, and whose
-  /// version is not above the snapshot's, have ended.
+  /// version is not above the snapshot's, have ended. Those of an earlier era
+  /// of the store are held for a while, as the copy that it was rolled back to
+  /// may be older than they are.
   /// @return True if the evacuations in force have changed.
   bool TakeWhole(const std::vector<EvacuationChange>& aChanges,
                  EvacuationVersion aVersion,
                  TimePoint aNow);
 
+  /// @brief Ends the evacuations that were held after a rollback and have not
+  /// been written again.
+  /// @return True if the evacuations in force have changed.
+  bool Tick(TimePoint aNow);
+
   /// @brief Evacuations in force, and since when this daemon has known each.
   std::map<std::string, TimePoint> InForce() const;
 
@@ -65,8 +75,11 @@
 private:
   struct Entry
   {
-    EvacuationVersion version = 0;
+    EvacuationVersion version;
     bool evacuated = false;
+    /// Version of the snapshot in which it is missing; it is held until then.
+    EvacuationVersion missing_in;
+    TimePoint held_until{};
     TimePoint known_since{}; ///< Of the evacuation in force.
   };
 
@@ -77,6 +90,7 @@
   std::map<std::string, Entry> m_entries; ///< By data centre.
   std::string m_next;                     ///< Where the next turn begins.
   std::size_t m_ignored = 0;
+  bool m_holds = false; ///< Some evacuations are held.
 };
 
 } // namespace sapphirelane
--- a/include/sapphirelane/relay/store_fleet.h
+++ b/include/sapphirelane/relay/store_fleet.h
@@ -62,7 +62,8 @@
   Duration view_age{ 0 };
   std::size_t live = 1;    ///< Live daemons, this one included.
   std::size_t counted = 1; ///< Members: live daemons and those missing lately.
-  bool store_answers = false; ///< The latest store call succeeded.
+  bool store_answers = false;  ///< The latest store call succeeded.
+  std::uint64_t store_era = 0; ///< Newest era of the store that is known.
   /// Evacuated data centres, with the time for which this daemon has known.
   std::map<std::string, Duration> evacuated;
 };
--- a/src/sapphirelane/relay/evacuation_table.cpp
+++ b/src/sapphirelane/relay/evacuation_table.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Bytes of a change beside the data centre's name.
-constexpr std::size_t kChangeBytes = 13;
+constexpr std::size_t kChangeBytes = 21;
 
 } // namespace
 
@@ -33,9 +33,15 @@
     present.insert(change.data_centre);
   }
   for (auto& [name, entry] : m_entries) {
-    const bool ended =
+    const bool missing =
       entry.evacuated && entry.version <= aVersion && present.count(name) == 0;
-    if (ended) {
+    if (missing && entry.version.era < aVersion.era) {
+      entry.held_until = entry.missing_in.IsNone()
+                           ? aNow + m_options.hold_missing
+                           : entry.held_until;
+      entry.missing_in = aVersion;
+      m_holds = true;
+    } else if (missing) {
       entry.version = aVersion;
       entry.evacuated = false;
       changed = true;
@@ -44,6 +50,30 @@
   return changed;
 }
 
+bool
+EvacuationTable::Tick(TimePoint aNow)
+{
+  if (!m_holds) {
+    return false;
+  }
+  m_holds = false;
+  bool changed = false;
+  for (auto& item : m_entries) {
+    Entry& entry = item.second;
+    if (entry.missing_in.IsNone()) {
+      continue;
+    }
+    if (aNow < entry.held_until) {
+      m_holds = true;
+      continue;
+    }
+    entry.version = std::exchange(entry.missing_in, EvacuationVersion());
+    entry.evacuated = false;
+    changed = true;
+  }
+  return changed;
+}
+
 bool
 EvacuationTable::Apply(const EvacuationChange& aChange, TimePoint aNow)
 {
@@ -61,6 +91,7 @@
   }
   Entry& entry = found->second;
   entry.version = aChange.version;
+  entry.missing_in = {};
   if (entry.evacuated == aChange.evacuated) {
     return false;
   }
--- a/src/sapphirelane/relay/evacuation_table_test.cpp
+++ b/src/sapphirelane/relay/evacuation_table_test.cpp
@@ -89,6 +89,36 @@
   CHECK(EvacuationTable().TakeTurn(300).empty());
 }
 
+/// Guards against requests to an evacuated data centre after the store came
+/// back from a copy that is older than the operator's row.
+TEST_CASE("EvacuationTable, evacuation is missing after a rollback of the "
+          "store, is held until it is written again or a while has passed",
+          "[era]")
+{
+  EvacuationTable table;
+  table.Take({ { "a", { 1, 90 }, true } }, kNow);
+  CHECK_FALSE(table.TakeWhole({}, { 2, 80 }, kNow));
+  CHECK(table.InForce().count("a") == 1);
+  const TimePoint later = kNow + std::chrono::seconds(7);
+  SECTION("written again, stays in force")
+  {
+    CHECK_FALSE(table.Take({ { "a", { 2, 85 }, true } }, kNow));
+    CHECK_FALSE(table.Tick(later));
+    CHECK(table.InForce().count("a") == 1);
+  }
+  SECTION("not written again, ends")
+  {
+    CHECK_FALSE(table.Tick(kNow + std::chrono::seconds(5)));
+    CHECK(table.Tick(later));
+    CHECK(table.InForce().empty());
+  }
+  SECTION("ended in the new era, ends at once")
+  {
+    CHECK(table.Take({ { "a", { 2, 85 }, false } }, kNow));
+    CHECK(table.InForce().empty());
+  }
+}
+
 /// Guards against a daemon that has its first configuration, and so sends
 /// requests, before it applies what it has heard of evacuations.
 TEST_CASE("FleetView, evacuation before and after the configuration, is part "
