Keep shed requests waiting for capacity within their target and deadline

Cause: a request that its endpoint shed was refused after one or two attempts, within 5 to 130 ms, although its target and deadline were seconds away. The fleet's retry budget went to whichever request asked first.

Ruled out: queueing shed requests in the admission queue, as a request waits there only while this daemon has no slot, and the endpoint sheds while slots are free. A share of shed attempts of this daemon alone, as a daemon with six requests a second knows too little.

Change: RetrySchedule decides when a request is sent again, holds the last attempt back while the service sheds a large share (ShedShare, from the results of all daemons), and gives up when no attempt can succeed in time. RetryController takes the retry, shed and hedge handling over from the dispatcher and keeps the waiting requests, at most half of limits.in_flight and limits.queue_per_account of one account.

The effect is not measured yet.

--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -63,6 +63,9 @@
   std::string ejector = "peer-comparison";
   std::string retry = "budget";
   std::string queue = "priority";
+  /// What becomes of a request that is shed and may be tried again later:
+  /// "refuse" it, or "wait" for capacity.
+  std::string shed = "refuse";
   std::string dialect = "sapphirelane"; ///< Of callers and upstreams.
   std::uint32_t pool = 8;  ///< Requests of this daemon at one endpoint.
   std::uint32_t ahead = 0; ///< Requests that may wait at an endpoint.
--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -13,6 +13,7 @@
 #include "sapphirelane/base/time.h"
 #include "sapphirelane/claims/claim_table.h"
 #include "sapphirelane/config/fleet.h"
+#include "sapphirelane/routing/retry_urgency.h"
 
 namespace sapphirelane {
 
@@ -226,8 +227,10 @@
 
   /// @brief Spends one retry or hedge from the service's retry budget, which
   /// the whole fleet shares. If it is not allowed, the attempt must not be
-  /// made.
+  /// made. Less urgent requests leave a part of the budget to more urgent ones;
+  /// see UrgencyReserve.
   virtual RetryDecision TakeExtra(const std::string& /*aService*/,
+                                  const RetryUrgency& /*aUrgency*/,
                                   TimePoint /*aNow*/)
   {
     return {};
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -15,6 +15,7 @@
 #include "sapphirelane/routing/ejector.h"
 #include "sapphirelane/routing/endpoint_limits.h"
 #include "sapphirelane/routing/endpoint_notices.h"
+#include "sapphirelane/routing/shed_share.h"
 
 namespace sapphirelane {
 
@@ -114,6 +115,10 @@
   /// @param aWaiting Requests of this daemon that are queued already.
   Duration ExpectedWait(std::size_t aWaiting, TimePoint aNow) const;
 
+  /// @brief What is known of the attempts that the service's endpoints shed, to
+  /// this daemon and the others.
+  const ShedShare& Sheds() const { return m_sheds; }
+
   /// @brief Mean latency of the endpoints with a known one; 0 if there is none.
   Duration MeanLatency() const;
 
@@ -265,6 +270,7 @@
   bool m_hasBadEvidence = false;
   EndpointNotices m_notices;
   EndpointLimits m_limits;
+  ShedShare m_sheds;
 };
 
 } // namespace sapphirelane
--- a/include/sapphirelane/relay/extra_budget.h
+++ b/include/sapphirelane/relay/extra_budget.h
@@ -72,9 +72,12 @@
   void SetReportedUntil(TimePoint aMoment) { m_reportedUntil = aMoment; }
 
   /// @brief Spends one retry or hedge if the budget allows it.
+  /// @param aReserve Share of the budget that it leaves to more urgent
+  /// requests.
   RetryDecision Take(const std::string& aService,
                      TimePoint aNow,
-                     Random& aRandom);
+                     Random& aRandom,
+                     double aReserve = 0);
 
   /// @brief What another daemon needs to know the windows of this one: those
   /// with retries, if there are too many those with most.
--- a/include/sapphirelane/routing/retry_policy.h
+++ b/include/sapphirelane/routing/retry_policy.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_ROUTING_RETRY_POLICY_H
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 
 #include "sapphirelane/base/registry.h"
@@ -21,6 +22,12 @@
   /// @brief Records a new request, which adds to the retry budget.
   virtual void OnRequest(TimePoint aNow) = 0;
 
+  /// @brief Largest number of attempts of one request, with the first.
+  virtual std::uint32_t MaxAttempts() const
+  {
+    return std::numeric_limits<std::uint32_t>::max();
+  }
+
   /// @brief Spends one extra attempt from the budget, if one is allowed.
   /// @param aAttempts Attempts made so far for the request.
   /// @param aDeadline Deadline of the request.
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -115,6 +115,10 @@
   aReader.Read("ejector", aPolicies.ejector);
   aReader.Read("retry", aPolicies.retry);
   aReader.Read("queue", aPolicies.queue);
+  aReader.Read("shed", aPolicies.shed);
+  if (aPolicies.shed != "refuse" && aPolicies.shed != "wait") {
+    aReader.Refuse("shed", "refuse or wait");
+  }
   aReader.Read("dialect", aPolicies.dialect);
   aReader.Read("pool", aPolicies.pool, 1, kMostRequests);
   aReader.Read("ahead", aPolicies.ahead, 0, kMostRequests);
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -16,6 +16,7 @@
 #include "sapphirelane/proxy/refusal.h"
 #include "sapphirelane/proxy/request_gate.h"
 #include "sapphirelane/proxy/request_history.h"
+#include "sapphirelane/proxy/retry_controller.h"
 #include "sapphirelane/proxy/service_book.h"
 #include "sapphirelane/proxy/signal_handler.h"
 #include "sapphirelane/routing/retry_policy.h"
@@ -46,24 +47,27 @@
 /// enough for other daemons to avoid it for the length of a fault episode.
 constexpr std::uint32_t kMisdirectedFailureCount = 3;
 
-constexpr Milliseconds kMinRetryAfter{ 50 };
+/// Retry-After of a host that is being stopped: another one can serve at once.
+constexpr Milliseconds kStopRetryAfter{ 50 };
 
 constexpr int kMinSuccessStatus = 200;
 constexpr int kMinRedirectStatus = 300;
 
-/// Hedged attempts allowed as a share of requests.
-constexpr double kHedgeBudgetShare = 0.04;
-
-RetryBudgetOptions
-HedgeBudgetOptions()
+RetryControllerOptions
+RetryOptionsOf(const DispatcherOptions& aOptions)
 {
-  RetryBudgetOptions options;
-  options.share = kHedgeBudgetShare;
+  RetryControllerOptions options;
+  options.waits = aOptions.policies.shed == "wait";
+  // The other half is left to requests that arrive.
+  options.max_waiting = aOptions.limits.in_flight / 2;
+  options.max_waiting_per_account = aOptions.limits.queue_per_account;
   return options;
 }
 
 /// Keeps a state machine for each request and drives it by events.
-class RequestDispatcher : public Dispatcher
+class RequestDispatcher
+  : public Dispatcher
+  , private RetryActions
 {
 public:
   RequestDispatcher(DispatcherOptions aOptions,
@@ -76,8 +80,6 @@
     , m_metrics(aMetrics)
     , m_random(m_options.seed)
     , m_nextAttempt(m_options.first_id)
-    , m_retry(RetryRegistry::Make(m_options.policies.retry))
-    , m_hedge(MakeRetryBudget(HedgeBudgetOptions()))
     , m_admission(m_options.limits, m_control)
     , m_services(m_options.limits,
                  m_options.policies,
@@ -86,6 +88,14 @@
                  m_metrics)
     , m_signals(m_options.dialect, m_control, m_metrics)
     , m_crashes(m_control, m_metrics)
+    , m_retries(RetryOptionsOf(m_options),
+                RetryRegistry::Make(m_options.policies.retry),
+                m_control,
+                m_services,
+                m_stop,
+                m_metrics,
+                m_random,
+                *this)
   {
   }
 
@@ -132,6 +142,7 @@
     AdmitEarlyRequests(aNow);
     ProcessControlEvents(aNow);
     CheckRequests(aNow);
+    m_retries.Tick(aNow);
     for (auto& entry : m_services.All()) {
       entry.second.state->SetLimitShare(m_control.LimitShare());
       RefuseLate(entry.second, aNow);
@@ -266,7 +277,7 @@
                     Outcome::NotRun,
                     "held-back",
                     "endpoints have ended under this request",
-                    RetryAfter(wait) };
+                    RetryAfterOf(wait) };
   }
 
   /// Draws a service by the weights of the route's traffic split.
@@ -476,7 +487,7 @@
                        Outcome::NotRun,
                        "overload",
                        "no slot of the service will be free in time",
-                       RetryAfter(wait) },
+                       RetryAfterOf(wait) },
                      aNow);
       return;
     }
@@ -520,7 +531,7 @@
                        Outcome::NotRun,
                        "overload",
                        "no slot of the service became free in time",
-                       RetryAfter(wait) },
+                       RetryAfterOf(wait) },
                      aNow);
     }
   }
@@ -569,21 +580,16 @@
 
   void RefuseForStop(std::uint64_t aId, TimePoint aNow)
   {
-    RefuseAdmitted(aId,
-                   { 503,
-                     Outcome::NotRun,
-                     "stopping",
-                     "this host is being stopped",
-                     kMinRetryAfter },
-                   aNow);
+    RefuseAdmitted(aId, RefusalOfStop(), aNow);
   }
 
-  /// Retry-After of a refused request: the expected queueing time.
-  static Milliseconds RetryAfter(Duration aWait)
+  static Refusal RefusalOfStop()
   {
-    constexpr Milliseconds kMaxRetryAfter = std::chrono::minutes(1);
-    return std::clamp(
-      std::chrono::ceil<Milliseconds>(aWait), kMinRetryAfter, kMaxRetryAfter);
+    return { 503,
+             Outcome::NotRun,
+             "stopping",
+             "this host is being stopped",
+             kStopRetryAfter };
   }
 
   void LogIfWaiting(std::uint64_t aId, TimePoint aNow)
@@ -738,7 +744,7 @@
 
   bool TryStartAttempt(std::uint64_t aId,
                        PendingRequest& aRequest,
-                       TimePoint aNow)
+                       TimePoint aNow) override
   {
     const bool heldBack =
       m_crashes.HeldBackFor(aRequest, aNow) > Duration::zero();
@@ -776,8 +782,7 @@
     m_requestsByAttempt[attempt.id] = aId;
     const bool first = aRequest.attempts_made == 1;
     if (first) {
-      m_retry->OnRequest(aNow);
-      m_hedge->OnRequest(aNow);
+      m_retries.OnFirstAttempt(aNow);
     }
     WorkReport report;
     report.begins = first;
@@ -863,7 +868,7 @@
                     .Add("elapsed_ms", elapsed));
     }
     if (failed && MayResend(aRequest) &&
-        (othersRunning || TryRetry(aId, aRequest, aNow))) {
+        (othersRunning || m_retries.TryRetry(aId, aRequest, aNow))) {
       m_upstreams.Cancel(aEvent.id);
       return;
     }
@@ -948,15 +953,12 @@
 
   /// Handles a response that says that the request did not run.
   void OnShedResponse(std::uint64_t aId,
-                      const PendingRequest& aRequest,
+                      PendingRequest& aRequest,
                       Attempt& aAttempt,
                       const AttemptEvent& aEvent,
                       TimePoint aNow)
   {
-    aAttempt.shed = true;
-    ServiceState& state = *m_services.At(aRequest.service).state;
-    state.Observe(
-      aAttempt.endpoint, { WorkResult::Shed, aNow - aAttempt.started }, aNow);
+    m_retries.OnShed(aRequest, aAttempt, aNow);
     LogDecision(aId,
                 "route",
                 "The endpoint shed the request without running it.",
@@ -965,84 +967,12 @@
                   .Add("connection", aEvent.connection)
                   .Add("status", aEvent.head.status)
                   .Add("elapsed_ms", aNow - aAttempt.started));
-    m_metrics.Count("sheds_total", { { "service", aRequest.service } });
     if (aRequest.stage != RequestStage::Responding) {
       // A retry waits for the end of this attempt.
       m_upstreams.Cancel(aAttempt.id);
     }
   }
 
-  /// Handles the end of the last running attempt after a shed response.
-  void OnShedAttemptEnd(std::uint64_t aId,
-                        PendingRequest& aRequest,
-                        TimePoint aNow)
-  {
-    if (TryRetry(aId, aRequest, aNow)) {
-      return;
-    }
-    const ServiceEntry& service = m_services.At(aRequest.service);
-    const Duration wait =
-      service.state->ExpectedWait(service.queue->Size(), aNow);
-    RefuseAdmitted(aId,
-                   { aRequest.may_have_run ? 502 : 503,
-                     aRequest.may_have_run ? Outcome::Unknown : Outcome::NotRun,
-                     "shed",
-                     "the upstream is overloaded and did not run it",
-                     RetryAfter(wait) },
-                   aNow);
-  }
-
-  /// Starts a further attempt if the retry budgets allow it.
-  bool TryRetry(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
-  {
-    const bool sendable =
-      !aRequest.exchange->IsCallerGone() && aRequest.exchange->CanAddAttempt();
-    const bool allowed =
-      sendable && HasAttemptsLeft(aRequest) &&
-      m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow) &&
-      TakeFromFleetBudget(aId, aRequest, aNow);
-    if (!allowed || !TryStartAttempt(aId, aRequest, aNow)) {
-      return false;
-    }
-    m_metrics.Count("retries_total", { { "service", aRequest.service } });
-    return true;
-  }
-
-  /// Spends one attempt from the retry budget that the fleet shares.
-  bool TakeFromFleetBudget(std::uint64_t aId,
-                           const PendingRequest& aRequest,
-                           TimePoint aNow)
-  {
-    const RetryDecision decision = m_control.TakeExtra(aRequest.service, aNow);
-    const bool unlimited = decision.allowed && decision.budget == 0;
-    if (unlimited) {
-      return true;
-    }
-    LogDecision(aId,
-                "retry",
-                decision.allowed
-                  ? "The fleet's retry budget allows an attempt."
-                  : "The fleet's retry budget allows no attempt.",
-                RequestFields(aId)
-                  .Add("spent", decision.spent)
-                  .Add("budget", decision.budget)
-                  .Add("known_ms", decision.known));
-    const MetricLabels service = { { "service", aRequest.service } };
-    m_metrics.Set("retry_budget", service, decision.budget);
-    m_metrics.Set("retry_budget_spent", service, decision.spent);
-    if (!decision.allowed) {
-      m_metrics.Count("retry_budget_refusals_total", service);
-    }
-    return decision.allowed;
-  }
-
-  /// Whether the route's limit on attempts sent allows another one.
-  static bool HasAttemptsLeft(const PendingRequest& aRequest)
-  {
-    return aRequest.route.attempts == 0 ||
-           aRequest.attempts_sent < aRequest.route.attempts;
-  }
-
   void OnAttemptEnd(std::uint64_t aId,
                     PendingRequest& aRequest,
                     const AttemptEvent& aEvent,
@@ -1078,7 +1008,7 @@
       return;
     }
     if (attempt.shed) {
-      OnShedAttemptEnd(aId, aRequest, aNow);
+      m_retries.OnShedAttemptEnd(aId, aRequest, aNow);
       return;
     }
     if (!aEvent.body_gone && !cancelled && !aEvent.stale) {
@@ -1111,26 +1041,31 @@
         TryStartAttempt(aId, aRequest, aNow)) {
       return; // No byte was sent, so no retry budget is charged.
     }
+    const Refusal refusal = RefusalOfFailure(aRequest, aEvent, aNow);
     const bool repeatable = MayResend(aRequest) || !aRequest.may_have_run;
-    if (!aEvent.body_gone && repeatable && TryRetry(aId, aRequest, aNow)) {
-      return;
+    if (!aEvent.body_gone && repeatable) {
+      m_retries.RetryOrRefuse(aId, aRequest, refusal, aNow);
+    } else {
+      RefuseAdmitted(aId, refusal, aNow);
     }
+  }
+
+  /// Answer to a request whose last attempt failed without a response.
+  static Refusal RefusalOfFailure(const PendingRequest& aRequest,
+                                  const AttemptEvent& aEvent,
+                                  TimePoint aNow)
+  {
     if (!aRequest.may_have_run) {
-      RefuseAdmitted(aId,
-                     { 503,
-                       Outcome::NotRun,
-                       aEvent.body_gone ? "body-gone" : "unreachable",
-                       "no connection to an upstream: " + aEvent.error },
-                     aNow);
-      return;
+      return { 503,
+               Outcome::NotRun,
+               aEvent.body_gone ? "body-gone" : "unreachable",
+               "no connection to an upstream: " + aEvent.error };
     }
     const bool pastDeadline = aNow >= aRequest.deadline;
-    RefuseAdmitted(aId,
-                   { pastDeadline ? 504 : 502,
-                     Outcome::Unknown,
-                     pastDeadline ? "deadline" : "broken-off",
-                     "the upstream gave no answer: " + aEvent.error },
-                   aNow);
+    return { pastDeadline ? 504 : 502,
+             Outcome::Unknown,
+             pastDeadline ? "deadline" : "broken-off",
+             "the upstream gave no answer: " + aEvent.error };
   }
 
   /// Handles the end of the body of a forwarded response.
@@ -1187,6 +1122,9 @@
 
   void CheckRequest(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
   {
+    if (aRequest.stage == RequestStage::AwaitingRetry) {
+      return; // See RetryController::Tick.
+    }
     const bool unsent = IsUnsent(aRequest.stage);
     const bool stops = unsent && IsTooLateForStop(aRequest, aNow);
     if (aRequest.is_repeat && unsent && (stops || aNow >= aRequest.deadline)) {
@@ -1239,10 +1177,8 @@
   void CheckStalls(std::uint64_t aId, PendingRequest& aRequest, TimePoint aNow)
   {
     ServiceState& state = *m_services.At(aRequest.service).state;
-    Duration longest{ 0 };
     for (Attempt& attempt : aRequest.attempts) {
       const Duration waited = aNow - attempt.started;
-      longest = std::max(longest, waited);
       if (!attempt.head_received && !attempt.stalled &&
           waited >= state.StallAfter(
                       attempt.queued_turns, aRequest.route.target, aNow)) {
@@ -1253,51 +1189,13 @@
         ReportWork(aRequest, attempt.endpoint, report, aNow);
       }
     }
-    const bool trial =
-      !aRequest.attempts.empty() && aRequest.attempts.front().trial;
-    if (aRequest.hedged || !MayResend(aRequest) ||
-        longest < state.HedgeAfter() || !aRequest.exchange->CanAddAttempt()) {
-      return;
-    }
-    const bool allEjected = AllEndpointsEjected(aRequest, state);
-    const bool withinBudget =
-      trial || allEjected ||
-      m_hedge->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow) ||
-      (AllStalled(aRequest) &&
-       m_retry->TakeExtra(aRequest.attempts_made, aRequest.deadline, aNow));
-    if (!withinBudget || !HasAttemptsLeft(aRequest) ||
-        !TakeFromFleetBudget(aId, aRequest, aNow)) {
-      return;
-    }
-    aRequest.hedged = true;
-    if (TryStartAttempt(aId, aRequest, aNow)) {
-      m_metrics.Count("hedges_total", { { "service", aRequest.service } });
-    }
-  }
-
-  /// Whether all attempts run at endpoints that have been ejected since. Such
-  /// hedges take none from the hedge budget, as the endpoints' slots bound
-  /// their number.
-  static bool AllEndpointsEjected(const PendingRequest& aRequest,
-                                  const ServiceState& aState)
-  {
-    return std::all_of(
-      aRequest.attempts.begin(),
-      aRequest.attempts.end(),
-      [&](const Attempt& aItem) { return aState.IsEjected(aItem.endpoint); });
-  }
-
-  static bool AllStalled(const PendingRequest& aRequest)
-  {
-    return std::all_of(aRequest.attempts.begin(),
-                       aRequest.attempts.end(),
-                       [](const Attempt& aItem) { return aItem.stalled; });
+    m_retries.TryHedge(aId, aRequest, aNow);
   }
 
   /// Drops a request whose caller has disconnected.
   void Abandon(std::uint64_t aId,
                const PendingRequest& aRequest,
-               TimePoint aNow)
+               TimePoint aNow) override
   {
     m_metrics.Count("abandoned_total", { { "service", aRequest.service } });
     LogDecision(aId,
@@ -1313,6 +1211,38 @@
     FinishRequest(aId, aNow);
   }
 
+  // RetryActions.
+
+  PendingRequest* FindRequest(std::uint64_t aId) override
+  {
+    auto found = m_requests.find(aId);
+    return found == m_requests.end() ? nullptr : &found->second;
+  }
+
+  std::optional<Refusal> ReasonToRefuse(PendingRequest& aRequest,
+                                        TimePoint aNow) override
+  {
+    if (IsTooLateForStop(aRequest, aNow)) {
+      return RefusalOfStop();
+    }
+    const auto refusal = m_admission.ReadmitForRetry(aRequest, aNow);
+    return refusal ? refusal : RefusalIfHeldBack(aRequest, aNow);
+  }
+
+  bool MayResume(const PendingRequest& aRequest, TimePoint aNow) override
+  {
+    return m_admission.IsCertain(aRequest, aNow) &&
+           (!aRequest.claim_granted ||
+            m_control.MaySend(aRequest.claim_ask, aNow));
+  }
+
+  void LogRetry(std::uint64_t aId,
+                const std::string& aSentence,
+                const LogFields& aFields) override
+  {
+    LogDecision(aId, "retry", aSentence, RequestFields(aId).Add(aFields));
+  }
+
   // Reports to the fleet.
 
   void ReportWork(const PendingRequest& aRequest,
@@ -1373,7 +1303,7 @@
 
   void RefuseAdmitted(std::uint64_t aId,
                       const Refusal& aRefusal,
-                      TimePoint aNow)
+                      TimePoint aNow) override
   {
     PendingRequest& request = m_requests.at(aId);
     if (request.claim_granted) {
@@ -1411,6 +1341,7 @@
   /// Removes a request and releases its attempts, token, slot and claim.
   void FinishRequest(std::uint64_t aId, TimePoint aNow)
   {
+    m_retries.OnFinish(aId, aNow);
     auto pending = m_requests.find(aId);
     PendingRequest& request = pending->second;
     ServiceEntry* service = m_services.Find(request.service);
@@ -1490,8 +1421,6 @@
   Metrics& m_metrics;
   Random m_random;
   std::uint64_t m_nextAttempt;
-  std::unique_ptr<RetryPolicy> m_retry;
-  std::unique_ptr<RetryPolicy> m_hedge;
   std::deque<ExchangePtr> m_earlyRequests; ///< Await the configuration.
   TimePoint m_startedAt{}; ///< Time of the first tick or request.
   TimePoint m_nextGauge{};
@@ -1500,6 +1429,7 @@
   ServiceTable m_services;
   SignalHandler m_signals;
   CrashGuard m_crashes;
+  RetryController m_retries;
   std::unordered_map<std::uint64_t, PendingRequest> m_requests;
   std::unordered_map<std::uint64_t, std::uint64_t> m_requestsByAttempt;
   std::unordered_map<AskId, std::uint64_t> m_requestsByAsk;
--- a/src/sapphirelane/proxy/pending_request.h
+++ b/src/sapphirelane/proxy/pending_request.h
@@ -17,6 +17,7 @@
   Queued,
   AwaitingClaim,
   AwaitingResponse, ///< An attempt runs; no response head was forwarded.
+  AwaitingRetry,    ///< Waits for a further attempt; see RetryController.
   Responding,       ///< A response head was forwarded.
 };
 
@@ -73,6 +74,8 @@
   std::vector<std::string> tried_endpoints; ///< Of running and ended attempts.
   std::uint32_t attempts_made = 0;
   std::uint32_t attempts_sent = 0; ///< Those that may have sent a byte.
+  std::uint32_t sheds = 0;         ///< Attempts that were shed.
+  std::uint32_t retry_waits = 0;   ///< Times that it has waited for a retry.
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/request_gate.cpp
+++ b/src/sapphirelane/proxy/request_gate.cpp
@@ -87,6 +87,29 @@
   return std::nullopt;
 }
 
+std::optional<Refusal>
+AdmissionController::ReadmitForRetry(PendingRequest& aRequest,
+                                     TimePoint aNow) const
+{
+  const FleetConfig& config = *m_control.Config();
+  if (config.routes.count(aRequest.route.id) == 0) {
+    return NotRun(404, "no-route", "the route was removed");
+  }
+  if (config.services.count(aRequest.service) == 0) {
+    return NotRun(503, "no-service", "the route's service is not known");
+  }
+  // A configuration that may be old is no reason to end the request.
+  const bool checked = !aRequest.route.open && m_control.IsFresh(aNow);
+  return checked ? Authorize(aRequest, aNow) : std::nullopt;
+}
+
+bool
+AdmissionController::IsCertain(const PendingRequest& aRequest,
+                               TimePoint aNow) const
+{
+  return aRequest.route.open || m_control.IsFresh(aNow);
+}
+
 std::optional<Refusal>
 AdmissionController::Authorize(PendingRequest& aRequest, TimePoint aNow) const
 {
--- a/src/sapphirelane/proxy/request_gate.h
+++ b/src/sapphirelane/proxy/request_gate.h
@@ -32,6 +32,16 @@
   std::optional<Refusal> Authorize(PendingRequest& aRequest,
                                    TimePoint aNow) const;
 
+  /// @brief Checks whether a request that was sent before may be sent again:
+  /// its route, service and key.
+  /// @return The refusal, or nothing. A configuration that may be old is no
+  /// reason to refuse; see IsCertain.
+  std::optional<Refusal> ReadmitForRetry(PendingRequest& aRequest,
+                                         TimePoint aNow) const;
+
+  /// @brief Whether the answer of ReadmitForRetry is certain now.
+  bool IsCertain(const PendingRequest& aRequest, TimePoint aNow) const;
+
 private:
   std::optional<Refusal> CheckHostState(std::size_t aInFlight) const;
   std::optional<Refusal> CheckLimits(const PendingRequest& aRequest) const;
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -587,6 +587,8 @@
   }
   EndpointState& state = found->second;
   m_ejector->Observe(aEndpoint, aObservation, aNow);
+  const bool shed = aObservation.result == WorkResult::Shed;
+  m_sheds.Record(shed ? 1 : 0, shed ? 0 : 1, aNow);
   if (aObservation.result == WorkResult::Answered) {
     ++m_answers;
     ++state.evidence.answered;
@@ -632,6 +634,9 @@
     RecordUse(state, item, aNow);
     m_limits.RecordSent(item.endpoint, item.begun, aNow);
     m_answers += item.answered;
+    if (item.answered + item.bad + item.shed > 0) {
+      m_sheds.Record(item.shed, item.answered + item.bad, aNow);
+    }
     const Observation good{ WorkResult::Answered,
                             item.answer_time,
                             item.answered };
--- a/src/sapphirelane/relay/extra_budget.cpp
+++ b/src/sapphirelane/relay/extra_budget.cpp
@@ -76,7 +76,10 @@
 }
 
 RetryDecision
-ExtraBudget::Take(const std::string& aService, TimePoint aNow, Random& aRandom)
+ExtraBudget::Take(const std::string& aService,
+                  TimePoint aNow,
+                  Random& aRandom,
+                  double aReserve)
 {
   const std::uint32_t service = ShortHash(aService);
   RetryWindow& window = WindowOf(service);
@@ -88,10 +91,11 @@
     m_options.margin;
   Unreported& unreported = UnreportedOf(service, aNow, aRandom);
   const auto own = static_cast<double>(unreported.spent.size());
-  const double left = decision.budget - (decision.spent - own);
+  const double usable = decision.budget * (1 - aReserve);
+  const double left = usable - (decision.spent - own);
   const bool withinPart = own + 1 <= left / m_daemons + unreported.rounding;
   decision.allowed =
-    IsKnown(aNow) && withinPart && decision.spent + 1 <= decision.budget;
+    IsKnown(aNow) && withinPart && decision.spent + 1 <= usable;
   if (decision.allowed) {
     window.Add(0, 1, aNow);
     unreported.spent.push_back(aNow);
--- a/src/sapphirelane/relay/retry_budget_test.cpp
+++ b/src/sapphirelane/relay/retry_budget_test.cpp
@@ -203,7 +203,7 @@
       return;
     }
     const RetryDecision decision =
-      m_world.At(aAttempt.daemon).TakeExtra("s", m_world.Now());
+      m_world.At(aAttempt.daemon).TakeExtra("s", {}, m_world.Now());
     if (decision.allowed) {
       m_retries.push_back(m_world.Now());
       Start({ aAttempt.daemon, aAttempt.run, aAttempt.number + 1 });
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -233,9 +233,12 @@
     return std::max(m_churn, m_load.Shortfall(aService, aNow));
   }
 
-  RetryDecision TakeExtra(const std::string& aService, TimePoint aNow) override
+  RetryDecision TakeExtra(const std::string& aService,
+                          const RetryUrgency& aUrgency,
+                          TimePoint aNow) override
   {
-    return m_retries.Take(aService, aNow, m_random);
+    const double reserve = m_urgencies.OnAsk(aService, aUrgency, aNow);
+    return m_retries.Take(aService, aNow, m_random, reserve);
   }
 
   std::vector<ControlEvent> TakeEvents() override
@@ -559,6 +562,7 @@
   PeerBook m_peers;
   QuotaLedger m_quota;
   ExtraBudget m_retries;
+  UrgencyReserve m_urgencies; ///< Of requests that ask for a retry.
   UpdateSender m_sender;
   Discovery m_discovery;
   ViewReplica m_replica;
--- a/src/sapphirelane/routing/retry_policy.cpp
+++ b/src/sapphirelane/routing/retry_policy.cpp
@@ -22,6 +22,8 @@
     m_balance = std::min(m_options.most_saved, m_balance + m_options.share);
   }
 
+  std::uint32_t MaxAttempts() const override { return m_options.most_attempts; }
+
   bool TakeExtra(std::uint32_t aAttempts,
                  TimePoint aDeadline,
                  TimePoint aNow) override
@@ -49,6 +51,8 @@
 
   void OnRequest(TimePoint /*aNow*/) override {}
 
+  std::uint32_t MaxAttempts() const override { return m_maxAttempts; }
+
   bool TakeExtra(std::uint32_t aAttempts,
                  TimePoint aDeadline,
                  TimePoint aNow) override
