--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -85,6 +85,16 @@
     crashes.push_back(aReport);
   }
 
+  RetryDecision TakeExtra(const std::string& /*aService*/,
+                          const RetryUrgency& /*aUrgency*/,
+                          TimePoint /*aNow*/) override
+  {
+    ++asked_for_retry;
+    RetryDecision decision;
+    decision.allowed = retries_allowed;
+    return decision;
+  }
+
   void ShareWork(const WorkReport& aReport, TimePoint /*aNow*/) override
   {
     bad += aReport.bad;
@@ -109,7 +119,9 @@
   std::vector<ControlEvent> events;
   std::vector<CrashReport> crashes; ///< Told to the fleet.
   std::uint64_t bad = 0;            ///< Failures told to the fleet.
-  std::uint64_t extra = 0;          ///< Further attempts told to the fleet.
+  bool retries_allowed = true;
+  int asked_for_retry = 0;
+  std::uint64_t extra = 0; ///< Further attempts told to the fleet.
 };
 
 /// Records attempts instead of sending them.
@@ -1266,5 +1278,202 @@
   CHECK(Status(exchange) == 502);
 }
 
+/// Session whose requests wait after a shed response; routes allow two attempts
+/// and have a target of 1 s and a deadline of 2 s.
+class ShedWaitFixture : public SessionFixture
+{
+protected:
+  ShedWaitFixture()
+  {
+    m_options.policies.retry = "fixed-attempts";
+    m_options.policies.shed = "wait";
+    m_options.limits.queue_per_account = 5;
+    for (auto& route : m_control.config.routes) {
+      route.second.attempts = 2;
+      route.second.target = Milliseconds(1000);
+    }
+    m_dispatcher =
+      MakeDispatcher(m_options, m_control, m_upstreams, *m_metrics);
+  }
+
+  /// Sends a request that is shed while the service sheds nearly all.
+  ExchangePtr SendShed(const std::string& aTarget = "/plain/1")
+  {
+    FleetEvidence evidence;
+    evidence.service = "s";
+    evidence.endpoints.resize(1);
+    evidence.endpoints[0].endpoint = "e1";
+    evidence.endpoints[0].shed = 50;
+    m_control.events.emplace_back(evidence);
+    m_dispatcher->OnEvents(m_now);
+    auto exchange = Send("POST", aTarget);
+    Shed(m_upstreams.started.size());
+    return exchange;
+  }
+
+  void Shed(std::uint64_t aAttempt)
+  {
+    Head(aAttempt, 503, { { HttpDialect{}.not_run, "not-run" } });
+    End(aAttempt, false, true, "cancelled");
+  }
+
+  bool Has(const std::string& aText) const
+  {
+    return m_text.find(aText) != std::string::npos;
+  }
+
+  DispatcherOptions m_options;
+};
+
+/// Guards against refusals within milliseconds while the target is seconds
+/// away.
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, service sheds, sends the last attempt before "
+                 "the target is missed")
+{
+  const auto exchange = SendShed();
+  CHECK(Status(exchange) == 0);
+  CHECK(m_upstreams.started.size() == 1);
+  AdvanceTime(Milliseconds(500));
+  CHECK(m_upstreams.started.size() == 1);
+  // The evidence has decayed, or the target is near.
+  AdvanceTime(Milliseconds(500));
+  REQUIRE(m_upstreams.started.size() == 2);
+  Head(2, 200);
+  End(2, true);
+  CHECK(Status(exchange) == 200);
+  CHECK(Has("[retry] The request waits for a further attempt."));
+  CHECK(Has("end=sent"));
+}
+
+/// Guards against a request that is held although nothing can serve it.
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, last attempt is shed, refuses at once and tells "
+                 "when the service is expected to recover")
+{
+  const auto exchange = SendShed();
+  AdvanceTime(Milliseconds(1000));
+  REQUIRE(m_upstreams.started.size() == 2);
+  SendShed("/plain/2");
+  Shed(2);
+  CHECK(Status(exchange) == 503);
+  CHECK(Outcome(exchange) == "not-run");
+  const auto head = exchange->CallerTakeHead();
+  const std::string* retryAfter = FindHeader(head->headers, "Retry-After");
+  REQUIRE(retryAfter != nullptr);
+  CHECK(std::stoi(*retryAfter) >= 2);
+}
+
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, stop leaves a waiting request no time, refuses "
+                 "it as not run")
+{
+  const auto exchange = SendShed();
+  m_dispatcher->BeginStop(m_now + Milliseconds(100), m_now);
+  AdvanceTime(Milliseconds(10));
+  CHECK(Status(exchange) == 503);
+  CHECK(Outcome(exchange) == "not-run");
+  CHECK(m_dispatcher->InFlight() == 0);
+  CHECK(Has("end=stopping"));
+}
+
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, caller leaves while its request waits, sends "
+                 "nothing further")
+{
+  const auto exchange = SendShed();
+  exchange->CallerLeave();
+  AdvanceTime(Milliseconds(10));
+  CHECK(m_dispatcher->InFlight() == 0);
+  AdvanceTime(Milliseconds(2000));
+  CHECK(m_upstreams.started.size() == 1);
+  CHECK(Has("end=abandoned"));
+}
+
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, key is withdrawn while a request waits, refuses "
+                 "it at once")
+{
+  const auto exchange = SendShed();
+  m_control.keys.SetWithdrawn({ DigestOf("the key") });
+  AdvanceTime(Milliseconds(10));
+  CHECK(Status(exchange) == 401);
+  CHECK(Outcome(exchange) == "not-run");
+}
+
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, route is removed while a request waits, refuses "
+                 "it at once")
+{
+  const auto exchange = SendShed();
+  m_control.config.routes.erase("plain");
+  m_control.config.version = 2;
+  AdvanceTime(Milliseconds(10));
+  CHECK(Status(exchange) == 404);
+  CHECK(Outcome(exchange) == "not-run");
+}
+
+/// Guards against requests that are held past their deadline while the fleet's
+/// budget refuses them.
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, retry budget refuses until the deadline, refuses "
+                 "the request by then as not run")
+{
+  m_control.retries_allowed = false;
+  const auto exchange = SendShed();
+  AdvanceTime(Milliseconds(1500));
+  CHECK(Status(exchange) == 0);
+  AdvanceTime(Milliseconds(500));
+  CHECK(Status(exchange) == 503);
+  CHECK(Outcome(exchange) == "not-run");
+  CHECK(m_control.asked_for_retry > 1);
+  CHECK(m_upstreams.started.size() == 1);
+}
+
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, budget refuses at first, sends the request when "
+                 "it allows one")
+{
+  m_control.retries_allowed = false;
+  const auto exchange = SendShed();
+  AdvanceTime(Milliseconds(1200));
+  m_control.retries_allowed = true;
+  AdvanceTime(Milliseconds(790));
+  CHECK(m_upstreams.started.size() == 2);
+  CHECK(Status(exchange) == 0);
+}
+
+/// Guards against one account's requests that take up all places to wait.
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, account has too many waiting requests, refuses "
+                 "the next at once but not another account's")
+{
+  m_control.config.accounts["b"] = { "b", 10, 20 };
+  m_control.config.keys["k2"] = { "k2", "b", DigestOf("another key") };
+  m_control.keys.Load(m_control.config);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(Status(SendShed()) == 0);
+  }
+  CHECK(Status(SendShed()) == 503);
+  m_key = "another key";
+  CHECK(Status(SendShed()) == 0);
+}
+
+/// Guards against slots that waiting requests would take from new ones.
+TEST_CASE_METHOD(ShedWaitFixture,
+                 "Dispatcher, requests wait, holds no slot and no token back "
+                 "from a first attempt")
+{
+  const int tokens = m_control.tokens;
+  for (int i = 0; i < 5; ++i) {
+    SendShed();
+  }
+  CHECK(m_control.tokens == tokens - 5);
+  for (std::size_t i = 1; i <= 6; ++i) {
+    Send("GET", "/read/1");
+    CHECK(m_upstreams.started.size() == 5 + i);
+  }
+}
+
 } // namespace
 } // namespace sapphirelane
