Send a held attempt earlier before its target

Ruled out as a cause: the margin of the budget.

Change: it is sent 2.8 mean latencies before the target, of which 97% of the responses need less.

--- a/src/sapphirelane/routing/retry_schedule.cpp
+++ b/src/sapphirelane/routing/retry_schedule.cpp
@@ -26,9 +26,10 @@
 constexpr std::uint32_t kMaxPriorityStep = 4;
 
 /// Multiple of the mean latency by which a held attempt is sent before its
-/// latest start for the target. With 1.5 means in total, five of six responses
-/// are in time (log-normal, standard deviation 0.6 of the logarithm).
-constexpr double kTargetMargin = 0.5;
+/// latest start for the target. With 2.8 means in total, 97% of the responses
+/// are in time (log-normal, standard deviation 0.6 of the logarithm). With 1.5
+/// means, a replay served fewer requests in time than without waiting.
+constexpr double kTargetMargin = 1.8;
 
 /// The same before the latest start for the deadline, which already allows for
 /// the fastest responses only.
