Compare counters of load reports in one place, which never lowers them

Cause: a daemon sent what the sums had held of its counters ("summed" values) as a normal report to each target that its last report had not gone to. A target that it had taken for lost for a moment holds newer values. When the sums with the latest reports had not reached the reporter, each service that was not in the same report was lowered: at the daemon that adds up this lowered the sums, and at the second in the order it put 2^32 into the counts that are handed over at a takeover.

Ruled out: daemons that restart (another origin); reordering of a report and summed values alone (the older one of the two was dropped). Also found: an origin of sums that returns was counted from 0 once more, and counters counted directly were counted again when the fleet became large.

Change: ReceivedCounters belongs to one origin, applies only its messages and returns deltas of their own types. A value that is too low or too high changes nothing and is logged. CounterBase, a new message, takes the place of summed values; it applies to counters without a value only, is sent with the first three reports of a counter, and keeps its value while it is sent.

Counts under way at a takeover may still count twice.

--- a/include/sapphirelane/relay/work_board.h
+++ b/include/sapphirelane/relay/work_board.h
@@ -74,6 +74,9 @@
   /// @brief Returns the changes of accounts and services only.
   WorkNews TakeCounterNews();
 
+  /// @brief Returns all counters of accounts and services, changed or not.
+  WorkNews AllCounters() const;
+
   /// @brief Whether a report on endpoints, or on accounts and services, is due.
   bool HasEndpointNews() const { return !m_changedEndpoints.empty(); }
   bool HasCounterNews() const;
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -476,6 +476,21 @@
   }
 };
 
+/// @brief Values from which the receiver is to take counters that a daemon
+/// reports, as its data centre's sums hold what is below them.
+struct CounterBase
+{
+  NodeId origin = 0;
+  std::vector<AccountWork> accounts;
+  std::vector<ServiceWork> services;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(origin, accounts, services);
+  }
+};
+
 /// @brief An endpoint as the store has it, or that it is gone.
 struct WireEndpoint
 {
@@ -640,7 +655,8 @@
                                  MembersAsk,
                                  MembersNews,
                                  LimitNews,
-                                 CrashNews>;
+                                 CrashNews,
+                                 CounterBase>;
 
 /// @brief Asks a peer for the newest head and what leads to it.
 struct FetchState
--- a/src/sapphirelane/relay/counter_exchange.cpp
+++ b/src/sapphirelane/relay/counter_exchange.cpp
@@ -36,8 +36,13 @@
 /// differ for a moment, and what they count must not count twice.
 constexpr Milliseconds kOriginTimeout{ 700 };
 
-/// Accounts in a message that tells what the sums have held.
-constexpr std::size_t kMaxAccountsSummed = 500;
+/// Reports of a counter to a new target with which the value is sent from which
+/// it is to be taken. All of them are lost once in a thousand times where a
+/// tenth of the messages is lost.
+constexpr std::uint32_t kBasesOfCounter = 3;
+
+/// Origins of sums of a data centre whose counters are kept.
+constexpr std::size_t kMaxOrigins = 4;
 
 /// Time without any report after which a daemon that takes over as the second
 /// counts anew, as reports went to others meanwhile.
@@ -73,18 +78,19 @@
 {
 }
 
-std::uint32_t&
-CounterExchange::FieldOf(ServiceWork& aWork, Field aField)
+template<typename Service>
+auto&
+CounterExchange::FieldOf(Service& aService, Field aField)
 {
   switch (aField) {
     case Field::Requests:
-      return aWork.requests;
+      return aService.requests;
     case Field::Extras:
-      return aWork.extras;
+      return aService.extras;
     case Field::Ended:
-      return aWork.ended;
+      return aService.ended;
     default:
-      return aWork.unserved;
+      return aService.unserved;
   }
 }
 
@@ -111,59 +117,109 @@
   for (const AccountWork& work : report.accounts) {
     RecordReported(Field::Spent, work.account, work.spent);
   }
-  for (ServiceWork& work : report.services) {
+  for (const ServiceWork& work : report.services) {
     for (const Field field : kServiceFields) {
       RecordReported(field, work.service, FieldOf(work, field));
     }
   }
   OnReport(report, aNow);
   const auto targets = m_peers.LeadingNeighbours(kReportTargets, aNow);
-  SendSummed(targets, aSequence);
-  report.sequence = ++aSequence;
+  UpdateTargets(targets);
+  for (Target& target : m_targets) {
+    SendBase(target, report);
+  }
   m_sender.SendTo(AddressesOf(targets), report);
 }
 
-/// Sends to daemons that get this daemon's reports for the first time, so that
-/// they count from what the sums have held. Accounts are left out that the sums
-/// hold all of: there may be thousands.
+/// A daemon that was a target before the last report and is one again counts as
+/// new: its counters may have been dropped meanwhile.
 void
-CounterExchange::SendSummed(const std::vector<MemberInfo>& aTargets,
-                            std::uint32_t& aSequence)
+CounterExchange::UpdateTargets(const std::vector<MemberInfo>& aTargets)
 {
-  std::vector<MemberInfo> added;
-  std::vector<NodeId> targets;
-  for (const MemberInfo& target : aTargets) {
-    targets.push_back(target.id);
-    if (std::count(m_targets.begin(), m_targets.end(), target.id) == 0) {
-      added.push_back(target);
-    }
+  const bool originChanged = std::exchange(m_originChanged, false);
+  std::vector<Target> targets;
+  for (const MemberInfo& member : aTargets) {
+    const auto known =
+      std::find_if(m_targets.begin(),
+                   m_targets.end(),
+                   [&](const Target& aItem) { return aItem.id == member.id; });
+    targets.push_back(
+      known != m_targets.end()
+        ? std::move(*known)
+        : Target{ member.id, member.address, originChanged, {} });
   }
   m_targets = std::move(targets);
-  const bool originChanged = std::exchange(m_originChanged, false);
-  if (added.empty()) {
-    return;
+}
+
+/// Value from which a target is to take a counter. It stays the same while it
+/// is sent, as what the sums hold of reports under way is estimated.
+CounterExchange::Base&
+CounterExchange::BaseOf(Target& aTarget, const CounterKey& aKey) const
+{
+  const auto [base, isNew] = aTarget.bases.try_emplace(aKey);
+  const auto found = m_own.find(aKey);
+  if (isNew && found != m_own.end()) {
+    const OwnPart& part = found->second;
+    base->second.value = static_cast<std::uint32_t>(
+      aTarget.from_before ? part.summed_before : part.Summed());
   }
-  WorkNews summed;
-  summed.origin = m_self.id;
-  summed.sequence = ++aSequence;
-  std::map<std::uint32_t, ServiceWork> services;
-  for (const auto& [key, part] : m_own) {
-    const auto value = static_cast<std::uint32_t>(
-      originChanged ? part.summed_before : part.Summed());
-    if (key.first == Field::Spent) {
-      if (part.reported != static_cast<std::int32_t>(value) &&
-          summed.accounts.size() < kMaxAccountsSummed) {
-        summed.accounts.push_back({ key.second, value });
+  return base->second;
+}
+
+/// Sends a target the values from which it is to take the counters of a report.
+/// They are sent with the first reports of each counter, as messages are lost.
+void
+CounterExchange::SendBase(Target& aTarget, const WorkNews& aReport)
+{
+  CounterBase message;
+  message.origin = m_self.id;
+  for (const AccountWork& work : aReport.accounts) {
+    Base& base = BaseOf(aTarget, { Field::Spent, work.account });
+    if (base.sent++ < kBasesOfCounter) {
+      message.accounts.push_back({ work.account, base.value });
+    }
+  }
+  for (const ServiceWork& work : aReport.services) {
+    if (BaseOf(aTarget, { Field::Requests, work.service }).sent++ <
+        kBasesOfCounter) {
+      ServiceWork service;
+      service.service = work.service;
+      for (const Field field : kServiceFields) {
+        FieldOf(service, field) =
+          BaseOf(aTarget, { field, work.service }).value;
       }
-    } else {
-      services[key.second].service = key.second;
-      FieldOf(services[key.second], key.first) = value;
+      message.services.push_back(service);
     }
   }
-  for (const auto& entry : services) {
-    summed.services.push_back(entry.second);
+  if (!message.accounts.empty() || !message.services.empty()) {
+    m_sender.SendMessage(aTarget.address, message);
   }
-  m_sender.SendTo(AddressesOf(added), summed);
+}
+
+void
+CounterExchange::TakeFrom(const WorkBoard& aOwn, TimePoint aNow)
+{
+  const auto take =
+    [&](Field aField, std::uint32_t aKey, std::uint32_t aValue) {
+      OwnPart& part = m_own[{ aField, aKey }];
+      part.reported = static_cast<std::int32_t>(aValue);
+      part.taken_off = part.summed_before = part.reported;
+      part.open = 0;
+    };
+  WorkNews own = aOwn.AllCounters();
+  for (const AccountWork& work : own.accounts) {
+    take(Field::Spent, work.account, work.spent);
+  }
+  for (ServiceWork& work : own.services) {
+    for (const Field field : kServiceFields) {
+      take(field, work.service, FieldOf(work, field));
+    }
+  }
+  m_targets.clear();
+  m_reports.clear();
+  m_unsummed.clear();
+  ReportsOf(m_self.id, aNow)
+    .TakeFrom({ m_self.id, own.accounts, own.services }, aNow);
 }
 
 void
@@ -175,6 +231,23 @@
   m_own[{ aField, aKey }].reported = static_cast<std::int32_t>(aValue);
 }
 
+ReceivedCounters&
+CounterExchange::ReportsOf(NodeId aOrigin, TimePoint aNow)
+{
+  return m_reports.try_emplace(aOrigin, aOrigin, aNow).first->second;
+}
+
+void
+CounterExchange::OnBase(const CounterBase& aBase, TimePoint aNow)
+{
+  if (aBase.origin == m_self.id) {
+    return;
+  }
+  DropStaleReports(aNow);
+  m_reportedAt = aNow;
+  AddToSums(ReportsOf(aBase.origin, aNow).TakeFrom(aBase, aNow));
+}
+
 void
 CounterExchange::OnReport(const WorkNews& aReport, TimePoint aNow)
 {
@@ -185,31 +258,41 @@
     DropStaleReports(aNow);
     m_reportedAt = aNow;
   }
-  ReceivedCounters& counters = m_reports[aReport.origin];
-  if (!counters.RecordMessage(aReport.sequence)) {
+  ReceivedCounters& counters = ReportsOf(aReport.origin, aNow);
+  if (!counters.RecordMessage(aReport)) {
     return;
   }
-  for (const AccountWork& work : aReport.accounts) {
-    const std::uint32_t advance = counters.AdvanceSpent(work);
-    m_unsummed[{ Field::Spent, work.account }] +=
-      static_cast<std::int32_t>(advance);
-    m_sums.spent[work.account] += advance;
-    const double unsent = m_sums.unsent[work.account] +=
-      static_cast<std::int32_t>(advance);
+  const CounterDeltas deltas = counters.Advance(aReport, aNow);
+  if (deltas.refused > 0) {
+    m_sink.OnRefused(aReport, deltas.refused, aNow);
+  }
+  AddToSums(deltas);
+}
+
+void
+CounterExchange::AddToSums(const CounterDeltas& aDeltas)
+{
+  for (const SpentDelta& delta : aDeltas.accounts) {
+    if (delta.spent == 0) {
+      continue;
+    }
+    m_unsummed[{ Field::Spent, delta.account }] += delta.spent;
+    m_sums.spent[delta.account] += static_cast<std::uint32_t>(delta.spent);
+    const double unsent = m_sums.unsent[delta.account] += delta.spent;
     m_sums.urgent =
       m_sums.urgent ||
       unsent >= std::max(kMinUrgentTokens,
-                         m_sink.BurstOf(work.account) * kUrgentBurstShare);
+                         m_sink.BurstOf(delta.account) * kUrgentBurstShare);
   }
-  for (const ServiceWork& work : aReport.services) {
-    ServiceWork advance = counters.AdvanceService(work);
-    ServiceWork& sum = m_sums.services[work.service];
-    sum.service = work.service;
+  for (const ServiceDelta& delta : aDeltas.services) {
+    ServiceWork& sum = m_sums.services[delta.service];
+    sum.service = delta.service;
     for (const Field field : kServiceFields) {
-      FieldOf(sum, field) += FieldOf(advance, field);
-      m_unsummed[{ field, work.service }] += FieldOf(advance, field);
+      const std::uint32_t count = FieldOf(delta, field);
+      FieldOf(sum, field) += count;
+      m_unsummed[{ field, delta.service }] += count;
     }
-    m_sums.changed_services.insert(work.service);
+    m_sums.changed_services.insert(delta.service);
   }
 }
 
@@ -267,7 +350,10 @@
 CounterExchange::DropStaleReports(TimePoint aNow)
 {
   if (!m_isTarget && aNow - m_reportedAt > kMaxReportGap) {
+    // This daemon's own reports always come here.
+    auto own = m_reports.extract(m_self.id);
     m_reports.clear();
+    m_reports.insert(std::move(own));
     m_unsummed.clear();
   }
 }
@@ -300,11 +386,11 @@
 void
 CounterExchange::NoteSummed(Field aField,
                             std::uint32_t aKey,
-                            std::uint32_t aAdvance)
+                            std::int64_t aDelta)
 {
   auto found = m_unsummed.find({ aField, aKey });
   if (found != m_unsummed.end()) {
-    found->second -= static_cast<std::int32_t>(aAdvance);
+    found->second -= aDelta;
     if (found->second <= 0) {
       m_unsummed.erase(found);
     }
@@ -336,7 +422,14 @@
     // have begun long ago.
     const bool missedNone =
       aState.origin != 0 && aNow - aState.heard_at < kMaxTurnGap;
-    aState.counters = ReceivedCounters(missedNone);
+    while (aState.counters.size() >= kMaxOrigins) {
+      aState.counters.erase(aState.counters.begin());
+    }
+    aState.counters.try_emplace(aOrigin,
+                                aOrigin,
+                                aNow,
+                                missedNone ? ReceivedCounters::Start::AtZero
+                                           : ReceivedCounters::Start::Unknown);
     if (aOwnCentre) {
       m_originChanged = true;
       for (auto& entry : m_own) {
@@ -356,32 +449,35 @@
 {
   CentreState& state = m_centres[aSums.centre];
   const bool own = aSums.centre == m_centre;
-  if (!AcceptsOrigin(state, aSums.origin, own, aNow) ||
-      !state.counters.RecordMessage(aSums.sequence)) {
+  if (!AcceptsOrigin(state, aSums.origin, own, aNow)) {
+    return;
+  }
+  ReceivedCounters& counters = state.counters.at(aSums.origin);
+  if (!counters.RecordMessage(aSums)) {
     return;
   }
   if (aSums.spread) {
     m_sender.SendLocally(aSums, aNow);
   }
-  const auto ofOthers =
-    [&](Field aField, std::uint32_t aKey, std::uint32_t aAdvance) {
-      return own ? TakeOffOwn(aField, aKey, aAdvance) : aAdvance;
-    };
-  for (const AccountWork& work : aSums.accounts) {
-    const std::uint32_t count =
-      ofOthers(Field::Spent, work.account, state.counters.AdvanceSpent(work));
-    if (static_cast<std::int32_t>(count) > 0) {
-      m_sink.OnSpent(work.account, count, aNow);
+  CounterDeltas deltas = counters.Advance(aSums, aNow);
+  if (deltas.refused > 0) {
+    m_sink.OnRefused(aSums, deltas.refused, aNow);
+  }
+  for (const SpentDelta& delta : deltas.accounts) {
+    const std::int64_t count =
+      own ? TakeOffOwn(Field::Spent, delta.account, delta.spent) : delta.spent;
+    if (count > 0) {
+      m_sink.OnSpent(delta.account, static_cast<std::uint32_t>(count), aNow);
     }
   }
-  for (const ServiceWork& work : aSums.services) {
-    ServiceWork advance = state.counters.AdvanceService(work);
-    const std::uint32_t service = work.service;
-    for (const Field field : kServiceFields) {
-      std::uint32_t& counter = FieldOf(advance, field);
-      counter = ofOthers(field, service, counter);
+  for (ServiceDelta& delta : deltas.services) {
+    if (own) {
+      for (const Field field : kServiceFields) {
+        std::uint32_t& count = FieldOf(delta, field);
+        count = TakeOffOwn(field, delta.service, count);
+      }
     }
-    m_sink.OnService(advance, aNow);
+    m_sink.OnService(delta, aNow);
   }
 }
 
@@ -391,11 +487,11 @@
 std::uint32_t
 CounterExchange::TakeOffOwn(Field aField,
                             std::uint32_t aKey,
-                            std::uint32_t aAdvance)
+                            std::int64_t aDelta)
 {
   OwnPart& part = m_own[{ aField, aKey }];
-  NoteSummed(aField, aKey, aAdvance);
-  part.open += static_cast<std::int32_t>(aAdvance);
+  NoteSummed(aField, aKey, aDelta);
+  part.open += aDelta;
   part.open -= part.reported - std::exchange(part.taken_off, part.reported);
   const std::int64_t count = std::max<std::int64_t>(0, part.open);
   part.open -= count;
--- a/src/sapphirelane/relay/counter_exchange.h
+++ b/src/sapphirelane/relay/counter_exchange.h
@@ -24,7 +24,12 @@
   virtual void OnSpent(std::uint32_t aAccount,
                        std::uint32_t aCount,
                        TimePoint aNow) = 0;
-  virtual void OnService(const ServiceWork& aAdvance, TimePoint aNow) = 0;
+  virtual void OnService(const ServiceDelta& aDelta, TimePoint aNow) = 0;
+
+  /// @brief Reports values of counters that were not used.
+  virtual void OnRefused(const WorkNews& aMessage,
+                         std::uint32_t aValues,
+                         TimePoint aNow) = 0;
 
   /// @brief Burst of an account; 0 if it is unknown or has no limit.
   virtual double BurstOf(std::uint32_t aAccount) const = 0;
@@ -38,7 +43,7 @@
 /// and sends the sums, by way of one daemon of each data centre, to all; the
 /// second takes over when it is lost, with the reports that the sums did not
 /// hold yet; a daemon that is new to the reports gets what was summed of each
-/// counter first. A receiver takes its own part off the sum
+/// counter with them (CounterBase). A receiver takes its own part off the sum
 /// of its data centre. The messages of a daemon do not grow with the fleet, but
 /// for those of the daemon that adds up, which grow with its data centre.
 class CounterExchange
@@ -55,6 +60,13 @@
   /// @param aSequence Sequence number of this daemon's last message; counts on.
   void Tick(WorkBoard& aOwn, std::uint32_t& aSequence, TimePoint aNow);
 
+  /// @brief Takes this daemon's counters for known to all, as reports have gone
+  /// to all so far. What it has received of the reports of others is forgotten.
+  void TakeFrom(const WorkBoard& aOwn, TimePoint aNow);
+
+  /// @brief Applies the values from which a daemon's counters are to be taken.
+  void OnBase(const CounterBase& aBase, TimePoint aNow);
+
   /// @brief Applies the report of a daemon of this data centre.
   void OnReport(const WorkNews& aReport, TimePoint aNow);
 
@@ -71,7 +83,8 @@
   {
     NodeId origin = 0; ///< The daemon that adds up, in one turn of doing so.
     TimePoint heard_at{};
-    ReceivedCounters counters;
+    /// By origin. An origin that is heard again goes on from its latest values.
+    std::map<NodeId, ReceivedCounters> counters;
   };
 
   /// Sums of this data centre.
@@ -114,14 +127,35 @@
                                                         Field::Extras,
                                                         Field::Ended,
                                                         Field::Unserved };
-  static std::uint32_t& FieldOf(ServiceWork& aWork, Field aField);
+  template<typename Service>
+  static auto& FieldOf(Service& aService, Field aField);
+
+  /// Value from which a target is to take a counter.
+  struct Base
+  {
+    std::uint32_t value = 0;
+    std::uint32_t sent = 0; ///< Times.
+  };
+
+  /// A daemon that gets this daemon's reports.
+  struct Target
+  {
+    NodeId id = 0;
+    std::string address;
+    /// It has replaced one that added up, so that the sums before it count.
+    bool from_before = false;
+    std::map<CounterKey, Base> bases;
+  };
 
   void SendReport(WorkBoard& aOwn, std::uint32_t& aSequence, TimePoint aNow);
-  void SendSummed(const std::vector<MemberInfo>& aTargets,
-                  std::uint32_t& aSequence);
+  void UpdateTargets(const std::vector<MemberInfo>& aTargets);
+  void SendBase(Target& aTarget, const WorkNews& aReport);
+  Base& BaseOf(Target& aTarget, const CounterKey& aKey) const;
+  ReceivedCounters& ReportsOf(NodeId aOrigin, TimePoint aNow);
+  void AddToSums(const CounterDeltas& aDeltas);
   void DropStaleReports(TimePoint aNow);
   void TakeOver();
-  void NoteSummed(Field aField, std::uint32_t aKey, std::uint32_t aAdvance);
+  void NoteSummed(Field aField, std::uint32_t aKey, std::int64_t aDelta);
   void SendSums(TimePoint aNow);
   bool AcceptsOrigin(CentreState& aState,
                      NodeId aOrigin,
@@ -130,7 +164,7 @@
   void RecordReported(Field aField, std::uint32_t aKey, std::uint32_t aValue);
   std::uint32_t TakeOffOwn(Field aField,
                            std::uint32_t aKey,
-                           std::uint32_t aAdvance);
+                           std::int64_t aDelta);
 
   MemberInfo m_self;
   std::uint32_t m_centre;
@@ -150,7 +184,7 @@
   std::map<CounterKey, std::int64_t> m_unsummed;
   /// Another daemon adds up since this daemon's last report.
   bool m_originChanged = false;
-  std::vector<NodeId> m_targets; ///< That got this daemon's last report.
+  std::vector<Target> m_targets; ///< That got this daemon's last report.
   Sums m_sums;
   bool m_addsUp = false;    ///< This daemon sends the sums.
   std::uint32_t m_turn = 0; ///< Times that it took this over.
--- a/src/sapphirelane/relay/hostile_message_test.cpp
+++ b/src/sapphirelane/relay/hostile_message_test.cpp
@@ -60,7 +60,8 @@
   crash.request = kMax64;
   crash.process = kMax64;
   crash.worked_ms = kMax32;
-  return { presence, work, view, leave, crash };
+  const CounterBase base = { kMax64, work.accounts, work.services };
+  return { presence, work, view, leave, crash, base };
 }
 
 /// Guards against one message that takes a daemon down: whatever another one
--- a/src/sapphirelane/relay/load_exchange.cpp
+++ b/src/sapphirelane/relay/load_exchange.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "sapphirelane/base/log.h"
+
 namespace sapphirelane {
 
 namespace {
@@ -20,6 +22,9 @@
 constexpr Milliseconds kMaxUpdateDelay{ 20 };
 constexpr Milliseconds kMaxUpdateDelayLargeFleet{ 100 };
 
+/// Smallest interval of log lines on counters that were not used.
+constexpr Milliseconds kRefusedLineInterval{ 1000 };
+
 } // namespace
 
 LoadExchange::LoadExchange(const MemberInfo& aSelf,
@@ -75,6 +80,14 @@
 {
   const bool changed = m_large != aLarge;
   m_large = aLarge;
+  if (changed && aLarge) {
+    m_counters.TakeFrom(m_load, aNow);
+  } else if (changed) {
+    // The sums held the counters of others so far.
+    for (auto& entry : m_received) {
+      entry.second.ForgetCounters();
+    }
+  }
   if (!aLarge) {
     m_hearingRevision += changed ? 1 : 0;
     return;
@@ -189,8 +202,9 @@
     m_counters.OnSums(aUpdate, aNow);
     return {};
   }
-  ReceivedCounters& received = m_received[aUpdate.origin];
-  if (!received.RecordMessage(aUpdate.sequence)) {
+  ReceivedCounters& received =
+    m_received.try_emplace(aUpdate.origin, aUpdate.origin, aNow).first->second;
+  if (!received.RecordMessage(aUpdate)) {
     return {};
   }
   if (aUpdate.spread && m_large) {
@@ -200,25 +214,54 @@
   }
   WorkNews advanced = aUpdate;
   for (EndpointWork& work : advanced.endpoints) {
-    work.begun = received.AdvanceBegun(work);
+    work.begun = received.AdvanceBegun(work, aNow);
   }
   if (m_large) {
     m_counters.OnReport(aUpdate, aNow);
     return m_load.Take(advanced, aNow);
   }
-  for (const AccountWork& work : aUpdate.accounts) {
-    // Returned tokens decrease the counter.
-    const std::uint32_t advance = received.AdvanceSpent(work);
-    if (static_cast<std::int32_t>(advance) > 0) {
-      OnSpent(work.account, advance, aNow);
+  const CounterDeltas deltas = received.Advance(aUpdate, aNow);
+  if (deltas.refused > 0) {
+    OnRefused(aUpdate, deltas.refused, aNow);
+  }
+  for (const SpentDelta& delta : deltas.accounts) {
+    if (delta.spent > 0) {
+      OnSpent(delta.account, static_cast<std::uint32_t>(delta.spent), aNow);
     }
   }
-  for (const ServiceWork& work : aUpdate.services) {
-    OnService(received.AdvanceService(work), aNow);
+  for (const ServiceDelta& delta : deltas.services) {
+    OnService(delta, aNow);
   }
   return m_load.Take(advanced, aNow);
 }
 
+void
+LoadExchange::OnBase(const CounterBase& aBase, TimePoint aNow)
+{
+  if (m_large) {
+    m_counters.OnBase(aBase, aNow);
+  }
+}
+
+void
+LoadExchange::OnRefused(const WorkNews& aMessage,
+                        std::uint32_t aValues,
+                        TimePoint aNow)
+{
+  m_refused += aValues;
+  if (aNow < m_nextRefusedLine) {
+    return;
+  }
+  m_nextRefusedLine = aNow + kRefusedLineInterval;
+  LogLine("load",
+          "A load report has counters that are too low or too high.",
+          LogFields()
+            .Add("origin", std::uint64_t{ aMessage.origin })
+            .Add("sums", aMessage.centre != 0)
+            .Add("values", std::uint64_t{ aValues })
+            .Add("values_since_start", m_refused));
+}
+
 void
 LoadExchange::OnSpent(std::uint32_t aAccount,
                       std::uint32_t aCount,
@@ -234,12 +277,11 @@
 }
 
 void
-LoadExchange::OnService(const ServiceWork& aAdvance, TimePoint aNow)
+LoadExchange::OnService(const ServiceDelta& aDelta, TimePoint aNow)
 {
-  const std::string service = m_load.ServiceOf(aAdvance.service);
-  m_retries.NoteOthers(
-    aAdvance.service, aAdvance.requests, aAdvance.extras, aNow);
-  m_shortfalls[service].Note(aAdvance.ended, aAdvance.unserved, aNow);
+  const std::string service = m_load.ServiceOf(aDelta.service);
+  m_retries.NoteOthers(aDelta.service, aDelta.requests, aDelta.extras, aNow);
+  m_shortfalls[service].Note(aDelta.ended, aDelta.unserved, aNow);
 }
 
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/load_exchange.h
+++ b/src/sapphirelane/relay/load_exchange.h
@@ -58,6 +58,10 @@
   /// @return Its evidence about endpoints.
   std::vector<FleetEvidence> OnUpdate(const WorkNews& aUpdate, TimePoint aNow);
 
+  /// @brief Applies the values from which another daemon's counters are to be
+  /// taken.
+  void OnBase(const CounterBase& aBase, TimePoint aNow);
+
   /// @brief Removes the requests in flight of daemons that are no longer live,
   /// and those that must have ended.
   /// @return Evidence for the endpoints that they had requests at.
@@ -70,7 +74,10 @@
   void OnSpent(std::uint32_t aAccount,
                std::uint32_t aCount,
                TimePoint aNow) override;
-  void OnService(const ServiceWork& aAdvance, TimePoint aNow) override;
+  void OnService(const ServiceDelta& aDelta, TimePoint aNow) override;
+  void OnRefused(const WorkNews& aMessage,
+                 std::uint32_t aValues,
+                 TimePoint aNow) override;
   double BurstOf(std::uint32_t aAccount) const override;
 
   void SendUpdate(std::size_t aRelays, TimePoint aNow);
@@ -90,6 +97,8 @@
   CounterExchange m_counters;
   std::uint32_t m_sequence = 0;
   TimePoint m_lastUpdate{};
+  TimePoint m_nextRefusedLine{};
+  std::uint64_t m_refused = 0; ///< Values of counters since the start.
   bool m_large = false;
   ObserverMap m_observers;
   std::uint64_t m_hearingRevision = 0;
--- a/src/sapphirelane/relay/received_counters.h
+++ b/src/sapphirelane/relay/received_counters.h
@@ -1,100 +1,132 @@
 #ifndef SAPPHIRELANE_RELAY_RECEIVED_COUNTERS_H
 #define SAPPHIRELANE_RELAY_RECEIVED_COUNTERS_H
 
-#include <algorithm>
 #include <cstdint>
 #include <map>
-#include <utility>
+#include <optional>
+#include <vector>
 
+#include "sapphirelane/base/time.h"
 #include "sapphirelane/wire/messages.h"
 
 namespace sapphirelane {
 
-/// @brief Latest counters that one origin of load reports has sent.
+/// @brief Tokens of an account that an origin has spent since its last message;
+/// below 0 if it has returned more than it spent.
+struct SpentDelta
+{
+  std::uint32_t account = 0; ///< Hash of its id.
+  std::int32_t spent = 0;
+};
+
+/// @brief What an origin has counted for a service since its last message.
+struct ServiceDelta
+{
+  std::uint32_t service = 0; ///< Hash of its id.
+  std::uint32_t requests = 0;
+  std::uint32_t extras = 0;
+  std::uint32_t ended = 0;
+  std::uint32_t unserved = 0;
+};
+
+/// @brief What an origin has counted since its last message.
+struct CounterDeltas
+{
+  std::vector<SpentDelta> accounts;
+  std::vector<ServiceDelta> services;
+  /// Values that are lower than the latest ones of their origin, or higher than
+  /// it can have counted since. They are not used.
+  std::uint32_t refused = 0;
+};
+
+/// @brief Latest counters of one origin of load reports: one run of a daemon,
+/// or one turn of a daemon at adding up the reports of its data centre.
+///
+/// The only place where two values of a counter are compared. It applies
+/// messages of its origin only, so that values of two origins or two lifetimes
+/// are never compared.
+///
+/// Load pattern: messages are lost, repeated and reordered, and a daemon states
+/// from which values its counters are to be taken (CounterBase) while newer
+/// values have been received. A value that is lower than the latest one, or
+/// higher than what can have been counted since, changes nothing. Counters may
+/// pass 2^32, which sums of a busy data centre reach within days.
 class ReceivedCounters
 {
 public:
-  /// @param aFromZero All that the origin has counted is new here, whatever
-  /// message comes first.
-  explicit ReceivedCounters(bool aFromZero = false)
-    : m_fromZero(aFromZero)
+  /// Whether all that the origin has counted is new here.
+  enum class Start
   {
-  }
+    Unknown, ///< Only if one of its first messages is received.
+    AtZero,  ///< Whatever message comes first.
+  };
 
-  /// @brief Records the sequence number of a received message.
-  /// @return False if it is a duplicate or older than the latest one.
-  bool RecordMessage(std::uint32_t aSequence)
-  {
-    if (aSequence <= m_sequence) {
-      return false;
-    }
-    m_sinceStart = m_sequence == 0
-                     ? m_fromZero || aSequence <= kMaxFirstSequence
-                     : m_sinceStart;
-    m_sequence = aSequence;
-    return true;
-  }
-
-  /// @brief Stores the new value of an account's counter.
-  /// @return How far it has advanced, see Advance.
-  std::uint32_t AdvanceSpent(const AccountWork& aWork)
-  {
-    return Advance(m_spent, aWork.account, aWork.spent);
-  }
+  ReceivedCounters(NodeId aOrigin,
+                   TimePoint aNow,
+                   Start aStart = Start::Unknown);
 
-  /// @brief Stores the new values of a service's counters.
-  /// @return How far each has advanced, see Advance.
-  ServiceWork AdvanceService(const ServiceWork& aWork)
-  {
-    const std::uint32_t service = aWork.service;
-    ServiceWork advance;
-    advance.service = service;
-    advance.requests = Advance(m_requests, service, aWork.requests);
-    advance.extras = Advance(m_extras, service, aWork.extras);
-    advance.ended = Advance(m_ended, service, aWork.ended);
-    advance.unserved = Advance(m_unserved, service, aWork.unserved);
-    return advance;
-  }
-
-  /// @brief Stores the new value of the attempts begun at an endpoint.
-  /// @return How far it has advanced; 1 for the first report on an endpoint, as
-  /// each attempt is reported at once.
-  std::uint32_t AdvanceBegun(const EndpointWork& aWork)
-  {
-    const std::uint32_t first = std::min(1U, aWork.begun);
-    auto found = m_begun.try_emplace(aWork.endpoint, aWork.begun - first).first;
-    return aWork.begun - std::exchange(found->second, aWork.begun);
-  }
+  /// @brief Records the sequence number of a message.
+  /// @return False if the message is of another origin, a duplicate, or older
+  /// than the latest one; it must not be applied then.
+  bool RecordMessage(const WorkNews& aMessage);
+
+  /// @brief Applies the counters of accounts and services of a message that was
+  /// recorded.
+  CounterDeltas Advance(const WorkNews& aMessage, TimePoint aNow);
+
+  /// @brief Sets values from which counters are to be taken, as what is below
+  /// them has been received by another way.
+  /// @return What had been taken for counted before the first message, and was
+  /// not.
+  CounterDeltas TakeFrom(const CounterBase& aBase, TimePoint aNow);
+
+  /// @brief Stores the attempts begun at an endpoint, of a message that was
+  /// recorded.
+  /// @return How many have begun since; 1 for the first report on an endpoint,
+  /// as each attempt is reported at once.
+  std::uint32_t AdvanceBegun(const EndpointWork& aWork, TimePoint aNow);
+
+  /// @brief Forgets the counters of accounts and services, as they have been
+  /// received by another way since the latest message.
+  void ForgetCounters();
 
 private:
-  using Counters = std::map<std::uint32_t, std::uint32_t>;
-
-  /// Highest sequence number of an origin's first received message at which its
-  /// counters are taken from 0. Above it, the origin had counted before its
-  /// messages were received.
-  static constexpr std::uint32_t kMaxFirstSequence = 3;
-
-  /// @return How far a counter has advanced; 0 for the first value from an
-  /// origin that had counted before its first message was received.
-  std::uint32_t Advance(Counters& aCounters,
-                        std::uint32_t aKey,
-                        std::uint32_t aValue) const
+  enum class Kind
+  {
+    Spent,
+    Requests,
+    Extras,
+    Ended,
+    Unserved,
+    Begun,
+  };
+
+  struct Counter
   {
-    auto found = aCounters.try_emplace(aKey, m_sinceStart ? 0 : aValue).first;
-    return aValue - std::exchange(found->second, aValue);
-  }
+    std::uint32_t value = 0;
+    TimePoint updated_at{};
+    /// First value of a counter of which it is not known how much of it is new.
+    std::optional<std::uint32_t> first;
+  };
+
+  using Key = std::pair<Kind, std::uint32_t>;
+  using Field = std::uint32_t ServiceDelta::*;
+
+  std::int64_t MostSince(TimePoint aThen, TimePoint aNow) const;
+  std::int32_t Advance(const Key& aKey,
+                       std::uint32_t aValue,
+                       TimePoint aNow,
+                       std::uint32_t& aRefused);
+  std::int32_t TakeFrom(const Key& aKey, std::uint32_t aBase, TimePoint aNow);
 
-  bool m_fromZero;
+  NodeId m_origin;
+  TimePoint m_createdAt;
+  Start m_start;
   std::uint32_t m_sequence = 0; ///< Newest message; 0 before the first.
   /// Its messages were received from its start on, so that everything that it
   /// has counted is new here.
   bool m_sinceStart = false;
-  Counters m_begun;
-  Counters m_spent;
-  Counters m_requests;
-  Counters m_extras;
-  Counters m_ended;
-  Counters m_unserved;
+  std::map<Key, Counter> m_counters;
 };
 
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/spreader.h
+++ b/src/sapphirelane/relay/spreader.h
@@ -75,6 +75,13 @@
     m_env.Send(aRelays, std::move(aUpdate));
   }
 
+  /// @brief Sends a message to one daemon.
+  void SendMessage(const std::string& aAddress,
+                   const PeerMessage& aMessage) const
+  {
+    m_env.Send({ aAddress }, aMessage);
+  }
+
 private:
   StoreFleetEnv& m_env;
   const PeerBook& m_peers;
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -476,6 +476,13 @@
     AddEvidence(m_load.OnUpdate(aUpdate, aNow));
   }
 
+  void Handle(const std::string& /*aAddress*/,
+              const CounterBase& aBase,
+              TimePoint aNow)
+  {
+    m_load.OnBase(aBase, aNow);
+  }
+
   // Endpoints that leave.
 
   void Handle(const std::string& /*aAddress*/,
--- a/src/sapphirelane/relay/work_board.cpp
+++ b/src/sapphirelane/relay/work_board.cpp
@@ -259,6 +259,19 @@
   return update;
 }
 
+WorkNews
+WorkBoard::AllCounters() const
+{
+  WorkNews all;
+  for (const auto& [account, spent] : m_localSpent) {
+    all.accounts.push_back({ account, spent });
+  }
+  for (const auto& entry : m_localServices) {
+    all.services.push_back(entry.second);
+  }
+  return all;
+}
+
 std::map<std::uint32_t, std::set<std::uint32_t>>
 WorkBoard::EndpointsOf(const std::string& aCentre) const
 {
