Test the refusal of evacuated services and hostile evacuations

The dispatcher's test guards against requests that wait until their deadline for endpoints which the operator has taken out of use. The message with extreme values carries evacuations with the highest version, an empty and a long name.

--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -604,6 +604,51 @@
   CHECK(m_upstreams.started.size() == 2);
 }
 
+/// Guards against requests that wait until their deadline for endpoints which
+/// the operator has taken out of use, and against cutting off those in flight.
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, all data centres of a service are evacuated, "
+                 "refuses new and waiting requests at once and completes those "
+                 "in flight")
+{
+  for (auto& entry : m_control.config.endpoints) {
+    entry.second.data_centre = entry.first == "e1" ? "north" : "south";
+  }
+  m_control.config.version = 2;
+  std::vector<ExchangePtr> running;
+  for (int i = 0; i < 6; ++i) {
+    running.push_back(Send("GET", "/read/1"));
+  }
+  auto waiting = Send("GET", "/read/waiting");
+  auto once = Send("POST", "/once/1", { { "Idempotency-Key", "i1" } });
+  CHECK(m_upstreams.started.size() == 6);
+  const int tokens = m_control.tokens;
+  m_control.config.evacuated = { "north" };
+  m_control.config.endpoint_revision = 1;
+  AdvanceTime(Milliseconds(20));
+  CHECK(Status(waiting) == 0);
+  m_control.config.evacuated = { "north", "south" };
+  m_control.config.endpoint_revision = 2;
+  AdvanceTime(Milliseconds(20));
+  auto late = Send("GET", "/read/late");
+  for (const ExchangePtr& refused : { waiting, once, late }) {
+    CHECK(Status(refused) == 503);
+    CHECK(Outcome(refused) == "not-run");
+  }
+  CHECK(m_text.find("reason=evacuated") != std::string::npos);
+  CHECK(m_text.find("retry_after_ms=5000") != std::string::npos);
+  CHECK(m_control.tokens == tokens + 2); // Given back by those that waited.
+  Head(1, 200);
+  End(1, true);
+  CHECK(Status(running[0]) == 200);
+  CHECK(m_upstreams.started.size() == 6);
+  m_control.config.evacuated = { "south" };
+  m_control.config.endpoint_revision = 3;
+  auto served = Send("GET", "/read/again");
+  REQUIRE(m_upstreams.started.size() == 7);
+  CHECK(m_upstreams.started.back().endpoint == "e1");
+}
+
 TEST_CASE_METHOD(SessionFixture,
                  "Dispatcher, stop is about to end, refuses new requests and "
                  "completes those in flight")
--- a/src/sapphirelane/relay/hostile_message_test.cpp
+++ b/src/sapphirelane/relay/hostile_message_test.cpp
@@ -51,6 +51,9 @@
   view.changes = { endpoint, WireEndpoint{} };
   view.config_version = kMax64;
   view.held_config = kMax64;
+  view.evacuations = { { std::string(300, 'x'), kMax64, true },
+                       { "", kMax64, true },
+                       { text, kMax64, false } };
   LeaveNews leave;
   leave.spread = true;
   leave.endpoint = text;
