Soak: evacuate data centres and check that nothing runs there

One in four seeds evacuates a data centre for 6 s and meanwhile another one that is restored at once. The times come from random numbers of their own, so that the other faults of a seed stay the same. From 5 s after the store has the row (10 s while the store is harmed) no request may run there until it is removed.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,6 +5,8 @@
 
 DRAIN_S = 2.0         # bounds of the standard sites
 CONFIG_S = 2.0
+EVACUATE_S = 5.0
+OUTER_S = 5.0         # more while the store is unstable
 SETTLE_S = 3.0
 QUOTA_WINDOW_S = 5.0
 QUOTA_OVERAGE = 0.1
@@ -64,6 +66,7 @@
             self.note("limit", f"{where}: got {run.left_ms} ms")
         self.check_route(run, attempt, where)
         self.check_leaving(run, attempt, where)
+        self.check_evacuated(run, where)
         self.check_key(run, attempt, where)
 
     def check_route(self, run, attempt, where):
@@ -86,6 +89,21 @@
                                       run.at):
             self.note("leaving", f"{where}: {late:.2f} s late")
 
+    def check_evacuated(self, run, where):
+        """Nothing runs in a data centre from the bound on, wherever its caller
+        sent it, until the evacuation is taken back."""
+        zone = self.world.endpoint(run.endpoint).zone
+        for evacuated, begin, end in self.world.evacuations:
+            until = run.at if end is None else end
+            if evacuated != zone or not begin < run.at <= until:
+                continue
+            bound = EVACUATE_S
+            if self.world.store_harmed(begin, run.at):
+                bound += OUTER_S
+            late = run.at - begin - bound
+            if late > 0 and not self.world.lagged(begin, run.at):
+                self.note("evacuated", f"{where} in {zone}: {late:.2f} s late")
+
     def check_key(self, run, attempt, where):
         gone = self.world.withdrawn.get(attempt.key)
         if gone is None or attempt.sent <= gone + CONFIG_S:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -12,6 +12,9 @@
 DEADLY_PAUSE_S = 0.4  # until it does
 FREEZE_S = 2.4        # longer than the limit of the crowd
 FREEZE_TIMES = (0.5, 3.4, 6.3)
+EVACUATING_SEEDS = 4  # one in so many seeds has evacuations
+EVACUATED_S = (6.0, 6.5)      # longer than the bound of the promise
+EVACUATIONS_AT = (0.5, 1.5)   # of the first
 CROWD = 60
 CROWD_RATE = 3.0      # requests a second of each caller
 
@@ -80,6 +83,31 @@
             await daemon.pause(FREEZE_S)
         await asyncio.gather(*crowd)
 
+    async def evacuations(self, begin):
+        """One data centre is evacuated for a time, another one is meanwhile
+        and restored at once. Draws from random numbers of its own, so that a
+        seed's other faults stay the same."""
+        if self.world.seed % EVACUATING_SEEDS != 2:
+            return
+        draw = random.Random(f"{self.world.seed} evacuations")
+        zone, other = draw.sample(self.world.zones, 2)
+        start = begin + draw.uniform(*EVACUATIONS_AT)
+        lasts = draw.uniform(*EVACUATED_S)
+        pause = draw.uniform(0.2, 2.0)
+        short = draw.choice((0.0, 0.3))
+        await self.operate(start, "evacuate", zone)
+        await self.operate(start + pause, "evacuate", other)
+        await self.operate(start + pause + short, "restore", other)
+        await self.operate(start + lasts, "restore", zone)
+
+    async def operate(self, at, order, zone):
+        """Gives an order, again until the store takes it."""
+        await asyncio.sleep(max(0, at - time.monotonic()))
+        while self.world.store.down:
+            await asyncio.sleep(0.1)
+        self.note(f"{order} {zone}")
+        getattr(self.world, order)(zone)
+
     def some_daemons(self):
         most = max(1, len(self.world.daemons) // 2)
         return self.random.sample(self.world.daemons,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -50,6 +50,7 @@
         self.deadly_target = ""      # ends the endpoints that get it
         self.deadly_times = None     # (from, to) in which it is sent
         self.deadly_ends = 0
+        self.evacuations = []        # [data centre, from, to or None]
         self.rates = {"steady": (400, 400), "small": (30, 30),
                       "greedy": (15, 15)}
         self.services = {"scripts": 4, "cues": 5, "voice": 4}
@@ -121,6 +122,18 @@
             self.withdrawn[left[0]] = time.monotonic()
             self.write_config()
 
+    def evacuate(self, zone):
+        """The order is confirmed as the store has written the row."""
+        self.store.put("op", f"evacuate/{zone}", {})
+        self.evacuations.append([zone, time.monotonic(), None])
+
+    def restore(self, zone):
+        # Noted before the removal, as a request may follow on it at once.
+        for one in self.evacuations:
+            if one[0] == zone and one[2] is None:
+                one[2] = time.monotonic()
+        self.store.remove("op", f"evacuate/{zone}")
+
     # Parts.
 
     def daemon(self, name):
@@ -214,6 +227,7 @@
         faults = asyncio.create_task(schedule.run(begin, seconds))
         await asyncio.gather(
             *work, faults, schedule.frozen_crowd(begin),
+            schedule.evacuations(begin),
             schedule.deadly_request(
                 begin, Caller(self, callers, "steady", 0, Habits())))
 
