Test evacuations in a large fleet and when the store fails after one read

The first guards against a time that grows with the fleet, the second against an evacuation that only one daemon has read, as no later read repeats its update.

--- a/src/sapphirelane/relay/evacuation_test.cpp
+++ b/src/sapphirelane/relay/evacuation_test.cpp
@@ -154,5 +154,58 @@
   CHECK(CountWrong(all) == 0);
 }
 
+/// Guards against an evacuation that only one daemon has read when the store
+/// fails: no read follows whose update could repeat a lost one.
+TEST_CASE("StoreFleet, store fails once a daemon has read an evacuation, every "
+          "daemon knows in time")
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    INFO("seed " << seed);
+    FleetWorld world(30, 3, true);
+    world.Advance(std::chrono::seconds(5));
+    FleetFaults faults;
+    faults.loss = 0.3;
+    faults.seed = seed;
+    world.SetFaults(faults);
+    const auto lacks = [&world] {
+      return world.CountWithout([](StoreFleet& aFleet) {
+        return aFleet.Config()->evacuated.count("centre-1") == 1;
+      });
+    };
+    world.SetEvacuated("centre-1", true);
+    while (lacks() == 30) {
+      world.Advance(Milliseconds(5));
+    }
+    world.SetStoreOutage(true);
+    world.Advance(kLimit - kNextUpdate);
+    CHECK(lacks() == 0);
+  }
+}
+
+/// Guards against a time that grows with the fleet, where updates go through
+/// relays.
+TEST_CASE("StoreFleet, large fleet loses a tenth of the messages, every daemon "
+          "knows of an evacuation in time")
+{
+  FleetWorld world(137, 3, true);
+  world.Advance(std::chrono::seconds(5));
+  FleetFaults faults;
+  faults.loss = 0.1;
+  world.SetFaults(faults);
+  world.SetEvacuated("centre-1", true);
+  Duration taken{ 0 };
+  const auto lacks = [&world] {
+    return world.CountWithout([](StoreFleet& aFleet) {
+      return aFleet.Config()->evacuated.count("centre-1") == 1;
+    });
+  };
+  while (lacks() > 0 && taken < std::chrono::seconds(10)) {
+    world.Advance(Milliseconds(20));
+    taken += Milliseconds(20);
+  }
+  INFO("known after " << ToMilliseconds(taken).count() << " ms");
+  CHECK(taken <= 2 * kNextUpdate);
+}
+
 } // namespace
 } // namespace sapphirelane
