List evacuated data centres in the status of fleets with their own configuration

Change: NodeStatus::evacuated has the time for which the daemon has known of each evacuation; further versions of the configuration do not start it anew.

--- a/include/sapphirelane/membership/node.h
+++ b/include/sapphirelane/membership/node.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
   std::size_t shards_held = 0;
   std::size_t claims = 0;
   std::size_t withdrawals = 0;
+  /// Evacuated data centres, with the time for which this daemon has known.
+  std::map<std::string, Duration> evacuated;
 };
 
 /// @brief Control plane of one daemon: membership, configuration, tokens,
--- a/src/sapphirelane/membership/node.cpp
+++ b/src/sapphirelane/membership/node.cpp
@@ -1,6 +1,7 @@
 #include "sapphirelane/membership/node.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "sapphirelane/base/log.h"
@@ -263,6 +264,9 @@
     status.shards_held = m_shards.Held(aNow);
     status.claims = m_claims.Size();
     status.withdrawals = m_revocations.Pending().size();
+    for (const auto& [name, since] : m_evacuatedSince) {
+      status.evacuated[name] = aNow - since;
+    }
     if (head) {
       status.seq = head->seq;
       status.config_version = head->config_version;
@@ -320,6 +324,17 @@
   }
 
 private:
+  /// Records since when each evacuation in force is known here.
+  void RecordEvacuations(TimePoint aNow)
+  {
+    std::map<std::string, TimePoint> since;
+    for (const std::string& name : m_replica.Config()->evacuated) {
+      const auto known = m_evacuatedSince.find(name);
+      since[name] = known == m_evacuatedSince.end() ? aNow : known->second;
+    }
+    m_evacuatedSince = std::move(since);
+  }
+
   // Heads.
 
   void OnHeadAdopted(const std::optional<Head>& aPrevious, TimePoint aNow)
@@ -338,6 +353,7 @@
       m_keys.Load(*m_replica.Config());
       m_revocations.OnConfig();
       m_tokenHolder.OnConfig(aNow);
+      RecordEvacuations(aNow);
     }
     ApplyMap(aPrevious, head, aNow);
     ApplyEarlyHandOvers(head, aNow);
@@ -936,6 +952,7 @@
   WithdrawalDesk m_revocations;
   MapProposer m_mapProposer;
   KeyDirectory m_keys;
+  std::map<std::string, TimePoint> m_evacuatedSince; ///< By data centre.
   std::vector<ControlEvent> m_events;
   std::vector<std::pair<NodeId, HandOver>> m_earlyHandOvers;
   std::set<NodeId> m_pendingCollections;
--- a/src/sapphirelane/membership/node_test.cpp
+++ b/src/sapphirelane/membership/node_test.cpp
@@ -415,5 +415,36 @@
   CHECK(m_world.NodeAt(2).Config()->keys.count("k") == 0);
 }
 
+/// Guards against an evacuation that some daemons do not learn of, and against
+/// a time of knowing it that starts anew with each version.
+TEST_CASE_METHOD(NodeFixture,
+                 "Fleet, evacuation of a data centre, is known on every daemon "
+                 "within 3 s until its row is removed")
+{
+  const auto propose = [this](const nlohmann::json& aBefore,
+                              const nlohmann::json& aAfter) {
+    ChangeSet change;
+    change.id = aAfter.is_null() ? "restore" : "evacuate";
+    change.rows = { { "evacuations/north", aBefore, aAfter } };
+    m_world.NodeAt(0).Propose(
+      change, m_world.NowAt(0), [](const WriteResult&, TimePoint) {});
+    m_world.Advance(std::chrono::seconds(3));
+  };
+  propose(nullptr, nlohmann::json::object());
+  m_world.Propose(2, "row");
+  m_world.Advance(std::chrono::seconds(3));
+  for (std::size_t i = 0; i < 4; ++i) {
+    const auto status = m_world.NodeAt(i).Status(m_world.NowAt(i));
+    REQUIRE(status.evacuated.count("north") == 1);
+    CHECK(status.evacuated.at("north") > std::chrono::seconds(3));
+    CHECK(m_world.NodeAt(i).Config()->evacuated.count("north") == 1);
+  }
+  propose(nlohmann::json::object(), nullptr);
+  for (std::size_t i = 0; i < 4; ++i) {
+    CHECK(m_world.NodeAt(i).Status(m_world.NowAt(i)).evacuated.empty());
+    CHECK(m_world.NodeAt(i).Config()->evacuated.empty());
+  }
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/node_operations.cpp
+++ b/src/sapphirelane/proxy/node_operations.cpp
@@ -37,6 +37,10 @@
 json
 ToJson(const NodeStatus& aStatus)
 {
+  json evacuated = json::object();
+  for (const auto& [name, known] : aStatus.evacuated) {
+    evacuated[name] = { { "known_ms", ToMilliseconds(known).count() } };
+  }
   const bool hasEvidence = aStatus.evidence_age != Duration::max();
   return { { "node", std::to_string(aStatus.id) },
            { "host", aStatus.host },
@@ -53,7 +57,8 @@
            { "witnesses", aStatus.witnesses },
            { "shards_held", aStatus.shards_held },
            { "claims", aStatus.claims },
-           { "withdrawals_pending", aStatus.withdrawals } };
+           { "withdrawals_pending", aStatus.withdrawals },
+           { "evacuated", evacuated } };
 }
 
 } // namespace
