--- a/src/sapphirelane/relay/extra_budget_test.cpp
+++ b/src/sapphirelane/relay/extra_budget_test.cpp
@@ -51,6 +51,19 @@
   CHECK(budget.Take("other", now, random).allowed);
 }
 
+/// Guards against less urgent requests that spend what is left to others.
+TEST_CASE("FleetRetryBudget, request leaves a reserve, is refused before more "
+          "urgent ones")
+{
+  ExtraBudget budget({});
+  Random random(1);
+  const TimePoint now{ std::chrono::hours(1) };
+  budget.NoteOthers(ShortHash("s"), 0, 20, now);
+  CHECK(budget.Take("s", now, random, 0.5).allowed);
+  CHECK_FALSE(budget.Take("s", now, random, 0.6).allowed);
+  CHECK(budget.Take("s", now, random).allowed);
+}
+
 /// Guards against daemons that each spend what is left before one knows what
 /// the others have spent.
 TEST_CASE("RetryBudget, all daemons decide at one moment, spend what is left "
--- a/src/sapphirelane/routing/shed_replay_test.cpp
+++ b/src/sapphirelane/routing/shed_replay_test.cpp
@@ -287,7 +287,7 @@
 Play(ReplayOptions aOptions, bool aWaits)
 {
   aOptions.waits = aWaits;
-  const ReplayResult result = ShedReplay(aOptions).Play();
+  ReplayResult result = ShedReplay(aOptions).Play();
   if (std::getenv("REPLAY_PRINT") != nullptr) {
     std::cout << aOptions.daemons << " daemons, endpoints "
               << aOptions.endpoints << ", " << (aWaits ? "wait" : "refuse")
