Make the cost of transfers between data centres a setting

Cause: kTransferCostPerMegabyte stood for one operator's prices.

Change: policies.transfer_cost_per_megabyte, in requests per megabyte, with the former value 3 as the default.

The effect of other values on placement has no test of its own.

--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -69,6 +69,10 @@
   std::string dialect = "sapphirelane"; ///< Of callers and upstreams.
   std::uint32_t pool = 8;  ///< Requests of this daemon at one endpoint.
   std::uint32_t ahead = 0; ///< Requests that may wait at an endpoint.
+  /// Cost of sending a body to another data centre, in requests per megabyte.
+  /// The default is for traffic billed at 5,900 per gigabyte, where a request
+  /// with a body is worth 2.
+  double transfer_cost_per_megabyte = 3;
 };
 
 /// @brief Everything that one daemon learns from its settings file.
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -60,6 +60,8 @@
   Duration connection_life = Milliseconds(
     0); ///< Idle time for which a kept connection counts as usable.
   std::uint64_t seed = 1; ///< Of random waits; different on each host.
+  /// See PolicySettings::transfer_cost_per_megabyte.
+  double transfer_cost_per_megabyte = 3;
 };
 
 /// @brief A daemon's view of one service: its endpoints, their health and load.
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -122,6 +122,11 @@
   aReader.Read("dialect", aPolicies.dialect);
   aReader.Read("pool", aPolicies.pool, 1, kMostRequests);
   aReader.Read("ahead", aPolicies.ahead, 0, kMostRequests);
+  constexpr double kMostTransferCost = 1e6;
+  aReader.Read("transfer_cost_per_megabyte",
+               aPolicies.transfer_cost_per_megabyte,
+               0,
+               kMostTransferCost);
   aReader.Finish();
 }
 
--- a/src/sapphirelane/config/settings_test.cpp
+++ b/src/sapphirelane/config/settings_test.cpp
@@ -53,6 +53,20 @@
   CHECK(settings.limits.in_flight == 7);
   CHECK(settings.limits.queue_per_account == 64);
   CHECK(settings.policies.balancer == "two-choices");
+  CHECK(settings.policies.shed == "refuse");
+  CHECK(settings.policies.transfer_cost_per_megabyte == 3);
+}
+
+TEST_CASE_METHOD(SettingsFixture,
+                 "Settings, policies of shed requests and of transfers, are "
+                 "read and checked")
+{
+  const EntrySettings settings =
+    Load("policies: { shed: wait, transfer_cost_per_megabyte: 0.5 }\n");
+  CHECK(settings.policies.shed == "wait");
+  CHECK(settings.policies.transfer_cost_per_megabyte == 0.5);
+  CHECK(ErrorOf("policies: { shed: often }\n").find("refuse or wait") !=
+        std::string::npos);
 }
 
 TEST_CASE_METHOD(SettingsFixture,
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -95,14 +95,15 @@
 void
 ServiceTable::InitEntry(ServiceEntry& aEntry) const
 {
-  aEntry.state =
-    std::make_unique<ServiceState>(BalancerRegistry::Make(m_policies.balancer),
-                                   EjectorRegistry::Make(m_policies.ejector),
-                                   ServiceStateOptions{ m_policies.pool,
-                                                        m_policies.ahead,
-                                                        m_control.DataCentre(),
-                                                        m_limits.proven,
-                                                        m_seed });
+  aEntry.state = std::make_unique<ServiceState>(
+    BalancerRegistry::Make(m_policies.balancer),
+    EjectorRegistry::Make(m_policies.ejector),
+    ServiceStateOptions{ m_policies.pool,
+                         m_policies.ahead,
+                         m_control.DataCentre(),
+                         m_limits.proven,
+                         m_seed,
+                         m_policies.transfer_cost_per_megabyte });
   aEntry.queue =
     QueueRegistry::Make(m_policies.queue, m_limits.queue_per_account);
 }
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -25,11 +25,6 @@
 /// started.
 constexpr Duration kWarmedUpAge = std::chrono::hours(1);
 
-/// Cost of sending a body to another data centre, in requests per megabyte.
-/// Traffic between data centres is billed by volume: 5,900 per gigabyte, while
-/// a request with a body is worth 2.
-constexpr double kTransferCostPerMegabyte = 3;
-
 /// Cost of a failure of a retryable request, in requests: the retry is later
 /// and fails in a tenth of the cases.
 constexpr double kRetryableFailureCost = 0.15;
@@ -228,7 +223,8 @@
   constexpr double kBytesPerMegabyte = 1e6;
   if (IsInOtherDataCentre(aState)) {
     candidate.transfer_cost = static_cast<double>(aRequest.body_bytes) /
-                              kBytesPerMegabyte * kTransferCostPerMegabyte;
+                              kBytesPerMegabyte *
+                              m_options.transfer_cost_per_megabyte;
   }
   if (!aState.heard) {
     candidate.transfer_cost += kUnseenWorkCost;
