Read what cold endpoints take from configuration, entries and bounds

Cause: the configuration and the platform say how many requests a cold endpoint takes and for how long it is cold; neither was read.

FleetConfig has evacuated, the data centres without requests, for the work on evacuations.

Ruled out: to refuse a whole configuration for one field of it that is not plausible.

--- a/include/sapphirelane/config/fleet.h
+++ b/include/sapphirelane/config/fleet.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,8 +43,15 @@
   /// Connections that each endpoint accepts, where the endpoint itself does not
   /// say; 0 for none.
   std::uint32_t connections = 0;
+  /// Requests a second that one of its endpoints takes while it is cold, from
+  /// all hosts together; 0 for no bound.
+  double cold_per_second = 0;
+  Milliseconds cold_start{ 0 }; ///< Time for which a new endpoint is cold.
 };
 
+/// @brief Longest cold time that is plausible; a longer one is ignored.
+constexpr Milliseconds kMaxColdTime{ 600000 };
+
 /// @brief One address of a service.
 struct Endpoint
 {
@@ -56,6 +64,8 @@
   std::string data_centre;       ///< Empty if it is not known.
   std::uint64_t lifetime = 0;    ///< Differs after a restart under one id.
   Milliseconds cold{ 0 };        ///< Time for which it still works slowly.
+  /// When that time ends, by the clock of this daemon; not written to rows.
+  TimePoint cold_until{};
 };
 
 /// @brief A service's part of the requests of a route.
@@ -126,6 +136,8 @@
   std::map<std::string, Key> keys;
   std::map<std::string, Host> hosts;
   CallerLimits limits;
+  /// Data centres whose endpoints get no requests.
+  std::set<std::string> evacuated;
   /// Grows when endpoints change without a new version.
   std::uint64_t endpoint_revision = 0;
 };
--- a/include/sapphirelane/config/settings.h
+++ b/include/sapphirelane/config/settings.h
@@ -56,6 +56,14 @@
   Milliseconds window{ 10000 };
 };
 
+/// @brief Bound on the requests to an endpoint that is cold, in any one second
+/// and from all hosts together.
+struct ColdStartSettings
+{
+  double overage = 1.5; ///< Multiple of what the service's endpoints take.
+  double slack = 8;     ///< Requests beyond that.
+};
+
 /// @brief Names of the plug-ins that decide.
 struct PolicySettings
 {
@@ -86,6 +94,7 @@
   /// How long a balancer takes to notice that this host is not ready.
   Milliseconds balancer_notice{ 500 };
   ExtraSettings extras;
+  ColdStartSettings cold_starts;
   LimitSettings limits;
   PolicySettings policies;
   /// Paths of the fields of the file that have no value; defaults hold for
--- a/src/sapphirelane/config/change_set_test.cpp
+++ b/src/sapphirelane/config/change_set_test.cpp
@@ -124,5 +124,26 @@
   CHECK(FindRoute(m_config, "", "/abc") == nullptr);
 }
 
+TEST_CASE(
+  "FleetConfig, cold start of a service, is kept in its row and checked")
+{
+  FleetConfig config;
+  config.services["s"] = { "s", 50, 0, 3.5, Milliseconds(12000) };
+  const FleetConfig read = DecodeFleet(EncodeFleet(config));
+  CHECK(read.services.at("s").cold_per_second == 3.5);
+  CHECK(read.services.at("s").cold_start == Milliseconds(12000));
+  CHECK(FaultsOf(config).empty());
+  config.services["s"].cold_per_second = -1;
+  CHECK(FaultsOf(config) == std::vector<std::string>{
+                              "service \"s\": cold_per_second is below 0" });
+  config.services["s"].cold_per_second = 1;
+  for (const Milliseconds time : { Milliseconds(-1), Milliseconds(600001) }) {
+    config.services["s"].cold_start = time;
+    CHECK(FaultsOf(config) ==
+          std::vector<std::string>{
+            "service \"s\": cold_start_ms is not 0 to 600000" });
+  }
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/config/fleet.cpp
+++ b/src/sapphirelane/config/fleet.cpp
@@ -72,6 +72,12 @@
   if (aService.connections > 0) {
     row["connections"] = aService.connections;
   }
+  if (aService.cold_per_second != 0) {
+    row["cold_per_second"] = aService.cold_per_second;
+  }
+  if (aService.cold_start != Milliseconds::zero()) {
+    row["cold_start_ms"] = aService.cold_start.count();
+  }
   return row;
 }
 
@@ -145,6 +151,9 @@
 {
   aRow.at("floor").get_to(aService.floor);
   aService.connections = aRow.value("connections", 0U);
+  aService.cold_per_second = aRow.value("cold_per_second", 0.0);
+  aService.cold_start =
+    Milliseconds(aRow.value("cold_start_ms", std::int64_t{ 0 }));
 }
 
 void
@@ -298,11 +307,8 @@
     CheckIds(m_config.accounts);
     CheckIds(m_config.keys);
     CheckIds(m_config.hosts);
-    for (const auto& [id, service] : m_config.services) {
-      const std::string& name = id;
-      Expect(service.floor <= kFullPercent, [&] {
-        return "service \"" + name + "\": floor is above 100 percent";
-      });
+    for (const auto& entry : m_config.services) {
+      Check(entry.second);
     }
     for (const auto& entry : m_config.endpoints) {
       Check(entry.second);
@@ -340,6 +346,19 @@
     }
   }
 
+  void Check(const Service& aService)
+  {
+    const auto name = [&] { return "service \"" + aService.id + "\": "; };
+    Expect(aService.floor <= kFullPercent,
+           [&] { return name() + "floor is above 100 percent"; });
+    Expect(std::isfinite(aService.cold_per_second) &&
+             aService.cold_per_second >= 0,
+           [&] { return name() + "cold_per_second is below 0"; });
+    Expect(aService.cold_start >= Milliseconds::zero() &&
+             aService.cold_start <= kMaxColdTime,
+           [&] { return name() + "cold_start_ms is not 0 to 600000"; });
+  }
+
   void Check(const Endpoint& aEndpoint)
   {
     const auto name = [&] { return "endpoint \"" + aEndpoint.id + "\": "; };
--- a/src/sapphirelane/config/settings.cpp
+++ b/src/sapphirelane/config/settings.cpp
@@ -74,6 +74,16 @@
   aReader.Finish();
 }
 
+void
+ReadColdStarts(YamlReader aReader, ColdStartSettings& aColdStarts)
+{
+  constexpr double kMostOverage = 100;
+  constexpr double kMostSlack = 1e6;
+  aReader.Read("overage", aColdStarts.overage, 0, kMostOverage);
+  aReader.Read("slack", aColdStarts.slack, 0, kMostSlack);
+  aReader.Finish();
+}
+
 void
 ReadPlatform(YamlReader aReader, PlatformSettings& aPlatform)
 {
@@ -154,6 +164,7 @@
   aReader.Read(
     "balancer_notice_ms", settings.balancer_notice, Milliseconds(0), kOneHour);
   ReadExtras(aReader.Map("extras"), settings.extras);
+  ReadColdStarts(aReader.Map("cold_starts"), settings.cold_starts);
   ReadLimits(aReader.Map("limits"), settings.limits);
   ReadPolicies(aReader.Map("policies"), settings.policies);
   aReader.Finish();
--- a/src/sapphirelane/config/settings_test.cpp
+++ b/src/sapphirelane/config/settings_test.cpp
@@ -116,5 +116,18 @@
   CHECK(ErrorOf("limits: [ 1\n").find(":7:1: ") == 0);
 }
 
+TEST_CASE_METHOD(SettingsFixture,
+                 "Settings, bound of cold endpoints, is read and checked")
+{
+  CHECK(Load("").cold_starts.overage == 1.5);
+  CHECK(Load("").cold_starts.slack == 8);
+  const EntrySettings settings =
+    Load("cold_starts: { overage: 1.25, slack: 6 }\n");
+  CHECK(settings.cold_starts.overage == 1.25);
+  CHECK(settings.cold_starts.slack == 6);
+  CHECK_THAT(ErrorOf("cold_starts: { slack: -1 }\n"),
+             Catch::Contains("cold_starts.slack"));
+}
+
 } // namespace
 } // namespace sapphirelane
