Tell all daemons of endpoints that turn cold again, and age cold times

Cause: the view compared only whether an endpoint is cold. One that turned cold again while it was cold was no change, so daemons that do not read the store themselves kept the end of its first cold time. A cold time that was passed on began anew at each receiver.

Change: an entry whose cold time ends more than 2 s later than known is a change of routing. Entries carry the end of their cold time by the daemon's clock; what is sent to others is the time that is left. The digest is as before: daemons see the entry at different times, so it cannot hold the end.

--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -145,6 +145,7 @@
   std::uint64_t m_version = 0;
   std::uint64_t m_revision = 0; ///< Local counter of endpoint changes.
   std::uint64_t m_digest = 0;   ///< See Digest.
+  TimePoint m_now{}; ///< Latest time that was passed in; ages cold times.
   TimePoint m_asOf{};
   TimePoint m_contactAt{}; ///< Latest time at which any daemon read the store.
   TimePoint m_recoveredAt{};                ///< End of the store's last outage.
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+/// Differences between the statements on one cold time: an entry is read up to
+/// this long after it was written. A longer cold time than known means that the
+/// endpoint has turned cold again.
+constexpr Milliseconds kSameColdTime{ 2000 };
+
 /// Compares the fields that affect where requests are sent.
 bool
 HasSameRouting(const Endpoint& aOne, const Endpoint& aOther)
@@ -168,11 +173,21 @@
 }
 
 /// An entry for another daemon. Its state is known to be current at the view's
-/// version, even if later heartbeats of it were not received.
+/// version, even if later heartbeats of it were not received. Its cold time is
+/// aged, but the entry stays cold until the store says otherwise.
 EndpointChange
 FleetView::ChangeOf(const std::string& aId, const Entry& aEntry) const
 {
-  return { aId, std::max(aEntry.version, m_version), aEntry.Stored() };
+  EndpointChange change{ aId,
+                         std::max(aEntry.version, m_version),
+                         aEntry.Stored() };
+  if (change.endpoint && change.endpoint->cold > Milliseconds::zero()) {
+    const Duration left = change.endpoint->cold_until - m_now;
+    change.endpoint->cold = std::clamp(std::chrono::ceil<Milliseconds>(left),
+                                       Milliseconds(1),
+                                       change.endpoint->cold);
+  }
+  return change;
 }
 
 std::vector<EndpointChange>
@@ -211,12 +226,23 @@
   }
   entry.version = aChange.version;
   entry.remove_at.reset();
-  const Endpoint& next = *aChange.endpoint;
-  const bool same = entry.endpoint && HasSameRouting(*entry.endpoint, next);
+  m_now = std::max(m_now, aNow);
+  Endpoint next = *aChange.endpoint;
+  next.cold_until =
+    next.cold > Milliseconds::zero() ? aNow + next.cold : TimePoint{};
+  const bool turnedCold =
+    entry.endpoint &&
+    next.cold_until > entry.endpoint->cold_until + kSameColdTime;
+  const bool same =
+    entry.endpoint && HasSameRouting(*entry.endpoint, next) && !turnedCold;
   if (!same && next.state == LifeState::Leaving) {
     m_departures.push_back(aChange);
   }
   entry.endpoint = next;
+  if (turnedCold) {
+    entry.routing_version = entry.version;
+    entry.changed_at = m_version > 0 ? aNow : TimePoint{};
+  }
   UpdateDigest(aChange.id, entry, aNow);
   return !same;
 }
@@ -280,6 +306,7 @@
 void
 FleetView::Tick(TimePoint aNow)
 {
+  m_now = std::max(m_now, aNow);
   if (aNow < m_nextRemoval) {
     return;
   }
--- a/src/sapphirelane/relay/fleet_view_test.cpp
+++ b/src/sapphirelane/relay/fleet_view_test.cpp
@@ -242,5 +242,52 @@
   CHECK(fetcher.Config()->endpoints.count("b") == 1);
 }
 
+class ColdViewFixture : public ViewFixture
+{
+protected:
+  static EndpointChange Cold(std::uint64_t aVersion, Milliseconds aCold)
+  {
+    EndpointChange change = Listed("e", aVersion);
+    change.endpoint->cold = aCold;
+    return change;
+  }
+
+  const Endpoint& Held() const { return m_view.Config()->endpoints.at("e"); }
+};
+
+/// Guards against daemons that never learn that an endpoint which they know as
+/// cold has turned cold again.
+TEST_CASE_METHOD(ColdViewFixture,
+                 "FleetView, endpoint turns cold again while it is cold, is a "
+                 "change that others are told")
+{
+  Apply(0, 10, { Cold(10, Milliseconds(8000)) });
+  const std::uint64_t revision = m_view.Config()->endpoint_revision;
+  m_now += Milliseconds(1500);
+  Apply(10, 11, { Cold(11, Milliseconds(6500)) });
+  CHECK(m_view.Config()->endpoint_revision == revision);
+  CHECK(m_view.ChangesAfter(10).empty());
+  m_now += Milliseconds(1500);
+  Apply(11, 12, { Cold(12, Milliseconds(30000)) });
+  CHECK(m_view.Config()->endpoint_revision > revision);
+  CHECK(Held().cold_until == m_now + Milliseconds(30000));
+  CHECK(m_view.ChangesAfter(11).size() == 1);
+  CHECK(m_view.ChangesSince(m_now).size() == 1);
+}
+
+/// Guards against a cold time that begins anew at each daemon that it reaches.
+TEST_CASE_METHOD(ColdViewFixture,
+                 "FleetView, cold time, is aged when it is passed on")
+{
+  Apply(0, 10, { Cold(10, Milliseconds(8000)) });
+  m_now += Milliseconds(5000);
+  m_view.Tick(m_now);
+  CHECK(m_view.Endpoints().front().endpoint->cold == Milliseconds(3000));
+  m_now += Milliseconds(9000);
+  m_view.Tick(m_now);
+  // It stays cold to others until the store says otherwise.
+  CHECK(m_view.Endpoints().front().endpoint->cold == Milliseconds(1));
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/relay/view_wire.cpp
+++ b/src/sapphirelane/relay/view_wire.cpp
@@ -40,7 +40,8 @@
     endpoint.data_centre = aWire.data_centre;
     endpoint.slots = std::max(1U, aWire.slots);
     endpoint.lifetime = aWire.lifetime;
-    endpoint.cold = Milliseconds(aWire.cold_ms);
+    const Milliseconds cold(aWire.cold_ms);
+    endpoint.cold = cold <= kMaxColdTime ? cold : Milliseconds(0);
     change.endpoint = endpoint;
   }
   return change;
