Keep cold endpoints within their bound in placement

Cause: placement, trials, retries and hedges did not know of a bound for cold endpoints, and new endpoints without requests are preferred by every daemon at once.

Change: ServiceState asks ColdStartLimits in MaySendTo, so every kind of attempt counts. Endpoints that join, restart or come back while the daemon runs are cold for cold_start of their service; entries and responses extend that. A store fleet ranks owners by all hosts that it knows, silent ones too; a daemon that starts owns nothing for at least 2 s and until it knows the hosts. Endpoints of a data centre whose evacuation ends are cold until the view is of a time when their entries have been written. Cold endpoints are not idle; FreeSlots counts one request for each, and ExpectedWait the owner's rate or the time until the first endpoint is warm. Log lines [health], metrics cold_endpoints, cold_attempts_total, upstream_cold_times_told_total. Inactive where cold_per_second is 0.

Ruled out: to rank live or counted hosts only. A partition would make each side choose owners after seconds.

--- a/include/sapphirelane/membership/fleet_control.h
+++ b/include/sapphirelane/membership/fleet_control.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "sapphirelane/admission/key_directory.h"
+#include "sapphirelane/base/hash.h"
 #include "sapphirelane/base/time.h"
 #include "sapphirelane/claims/claim_table.h"
 #include "sapphirelane/config/fleet.h"
@@ -106,6 +107,15 @@
   std::optional<double> limit;
 };
 
+/// @brief An endpoint has told some daemon that it is cold.
+struct ColdReport
+{
+  std::string service;
+  std::string endpoint;
+  std::uint64_t lifetime = 0; ///< Of the process that said so; 0 if unknown.
+  Milliseconds left{ 0 };     ///< Time for which it stays cold.
+};
+
 /// @brief What became of a request that may end the endpoints that work on it.
 struct CrashReport
 {
@@ -128,6 +138,7 @@
                                   FleetEvidence,
                                   LeaveReport,
                                   LimitReport,
+                                  ColdReport,
                                   CrashReport>;
 
 /// @brief Interface between the request path of a daemon and the control plane
@@ -198,6 +209,26 @@
   /// get a LimitReport, unless the message is lost.
   virtual void ShareLimit(const LimitReport& /*aReport*/, TimePoint /*aNow*/) {}
 
+  /// @brief Tells the fleet that an endpoint has said that it is cold. The
+  /// other daemons get a ColdReport, unless the message is lost.
+  virtual void ShareCold(const ColdReport& /*aReport*/, TimePoint /*aNow*/) {}
+
+  /// @brief Rank of this daemon among the hosts that send to a cold endpoint,
+  /// in an order that all daemons compute identically from the hosts known to
+  /// them.
+  /// @param aOwners Number of hosts that may send to it.
+  /// @return The rank; nothing if this daemon is not among them, or does not
+  /// know all hosts yet.
+  virtual std::optional<std::size_t> ColdOwnerRank(const std::string& aEndpoint,
+                                                   std::size_t aOwners,
+                                                   TimePoint /*aNow*/) const
+  {
+    const auto [rank, hosts] = Rank();
+    const std::size_t size = std::max<std::size_t>(1, hosts);
+    const std::size_t own = (rank + StableHash(aEndpoint) % size) % size;
+    return own < aOwners ? std::optional(own) : std::nullopt;
+  }
+
   /// @brief Tells the fleet that an endpoint has ended under a request, or that
   /// a suspected request was answered. The other daemons get a CrashReport,
   /// unless the message is lost.
--- a/include/sapphirelane/proxy/dialect.h
+++ b/include/sapphirelane/proxy/dialect.h
@@ -47,6 +47,9 @@
   /// Header of an endpoint's response with the requests a second that it takes
   /// from all hosts together.
   std::string limit = "X-Sapphirelane-Limit";
+  /// Header of an endpoint's response with the time in ms for which it stays
+  /// cold; see Service::cold_per_second.
+  std::string cold = "X-Sapphirelane-Cold-Ms";
   /// Status of an endpoint that is not the intended one, so that the request
   /// did not run; 0 for none.
   int other_endpoint_status = 0;
--- a/include/sapphirelane/proxy/dispatcher.h
+++ b/include/sapphirelane/proxy/dispatcher.h
@@ -56,6 +56,7 @@
 {
   LimitSettings limits;
   PolicySettings policies;
+  ColdStartSettings cold_starts;
   HttpDialect dialect;
   std::uint64_t seed = 1;     ///< Of random choices.
   std::uint64_t first_id = 1; ///< Id of the first attempt.
--- a/include/sapphirelane/proxy/endpoint_signals.h
+++ b/include/sapphirelane/proxy/endpoint_signals.h
@@ -20,6 +20,7 @@
   /// limit that could matter.
   std::optional<double> limit;
   bool limit_malformed = false; ///< What it takes is not known.
+  std::optional<Duration> cold; ///< Time for which it stays cold.
   /// It rejected the request and wants none from this host for this time.
   std::optional<Duration> retry_after;
   std::vector<std::string> malformed; ///< Names of headers that were ignored.
@@ -35,6 +36,12 @@
 std::optional<double>
 ParseLimit(const std::string& aText);
 
+/// @brief Parses the time for which an endpoint stays cold, in ms.
+/// @return The time, or nothing if the text is malformed, negative or above
+/// kMaxColdTime.
+std::optional<Duration>
+ParseColdTime(const std::string& aText);
+
 /// @brief Parses a Retry-After header in seconds, with fractions. A date is
 /// malformed. Times above ten minutes are cut to that.
 /// @return The time, or nothing if the text is malformed or negative.
--- a/include/sapphirelane/proxy/service_state.h
+++ b/include/sapphirelane/proxy/service_state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "sapphirelane/config/fleet.h"
 #include "sapphirelane/membership/fleet_control.h"
 #include "sapphirelane/routing/balancer.h"
+#include "sapphirelane/routing/cold_start_limits.h"
 #include "sapphirelane/routing/ejector.h"
 #include "sapphirelane/routing/endpoint_limits.h"
 #include "sapphirelane/routing/endpoint_notices.h"
@@ -38,6 +40,7 @@
   std::string address;
   std::uint64_t lifetime = 0;
   bool trial = false; ///< The attempt tests an ejected endpoint.
+  bool cold = false;  ///< The endpoint is cold and its requests are bounded.
   /// Requests ahead of the attempt in the endpoint's queue, per slot.
   double queued_turns = 0;
   LogFields inputs; ///< Inputs of the choice, for the log.
@@ -59,6 +62,7 @@
   Duration connection_life = Milliseconds(
     0); ///< Idle time for which a kept connection counts as usable.
   std::uint64_t seed = 1; ///< Of random waits; different on each host.
+  ColdStartOptions cold_starts;
 };
 
 /// @brief A daemon's view of one service: its endpoints, their health and load.
@@ -86,6 +90,21 @@
     m_hearsWorkOf = std::move(aHearsWorkOf);
   }
 
+  /// @brief Sets the function that tells this daemon's rank among a number of
+  /// owners of a cold endpoint; see FleetControl::ColdOwnerRank. Without one,
+  /// this daemon is the first owner of each.
+  using OwnerRank =
+    std::function<std::optional<std::size_t>(const std::string& aEndpoint,
+                                             std::size_t aOwners,
+                                             TimePoint aNow)>;
+  void SetColdOwnership(OwnerRank aOwnerRank)
+  {
+    m_coldOwnerRank = std::move(aOwnerRank);
+  }
+
+  /// @brief Records the time at which this daemon's view matched the store.
+  void SetViewTime(TimePoint aTime) { m_coldStarts.Confirm(aTime); }
+
   /// @brief Decides whether a request may probe idle endpoints.
   /// @param aUnserved Share of the service's recent requests that the fleet did
   /// not serve.
@@ -157,6 +176,30 @@
   /// FleetControl::LimitShare.
   void SetLimitShare(double aShare) { m_limits.SetShare(aShare); }
 
+  /// @brief Records how much longer an endpoint says it is cold, to this
+  /// daemon.
+  /// @return Whether the other daemons have to be told.
+  bool NoteCold(const std::string& aEndpoint, Duration aLeft, TimePoint aNow);
+
+  /// @brief Records what an endpoint has said to another daemon of the time for
+  /// which it is cold.
+  /// @return True if that was not known.
+  bool NoteReportedCold(const ColdReport& aReport, TimePoint aNow);
+
+  /// @brief Records that the endpoints of a data centre get requests again and
+  /// may be cold. Each counts as cold until its entry has been written since.
+  void MarkReturned(const std::string& aDataCentre, TimePoint aNow);
+
+  /// @brief Number of cold endpoints whose requests are bounded.
+  std::size_t Cold(TimePoint aNow) const { return m_coldStarts.Size(aNow); }
+
+  /// @brief Returns which endpoints have turned cold, or are cold no longer,
+  /// since the last call.
+  std::vector<ColdChange> TakeColdChanges(TimePoint aNow)
+  {
+    return m_coldStarts.TakeChanges(aNow);
+  }
+
   /// @brief Lifetime of an endpoint in the current view; 0 if unknown.
   std::uint64_t LifetimeOf(const std::string& aEndpoint) const;
 
@@ -240,7 +283,13 @@
   bool AcceptsRequests(const EndpointState& aState, TimePoint aNow) const;
   bool MaySendTo(const EndpointState& aState, TimePoint aNow) const;
   bool IsEligible(const EndpointState& aState, TimePoint aNow) const;
-  double SlotsWithinLimit(const EndpointState& aState) const;
+  std::optional<std::size_t> ColdOwnerRank(const std::string& aEndpoint,
+                                           TimePoint aNow) const;
+  void LoadColdTime(const EndpointState& aState,
+                    const Service& aService,
+                    bool aStarted,
+                    TimePoint aNow);
+  double SlotsWithinLimit(const EndpointState& aState, TimePoint aNow) const;
   Duration RestOfService(TimePoint aNow) const;
   Candidate MakeCandidate(const EndpointState& aState,
                           const PlaceRequest& aRequest,
@@ -265,6 +314,10 @@
   bool m_hasBadEvidence = false;
   EndpointNotices m_notices;
   EndpointLimits m_limits;
+  ColdStartLimits m_coldStarts;
+  OwnerRank m_coldOwnerRank;
+  bool m_loaded = false; ///< Endpoints that join later have started.
+  std::set<std::string> m_evacuated; ///< Data centres, at the last Load.
 };
 
 } // namespace sapphirelane
--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -155,6 +155,10 @@
   /// @brief This daemon's rank among the members, live or not.
   std::size_t CountedOrder(TimePoint aNow) const;
 
+  /// @brief Hashes of all other hosts that are known, whether they are silent
+  /// or not, except those that have announced to leave.
+  std::vector<std::uint32_t> KnownHosts() const;
+
   /// @brief Number of live daemons, this one included.
   std::size_t Live(TimePoint aNow) const;
 
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -569,6 +569,21 @@
   }
 };
 
+/// @brief Tells that an endpoint has said that it is cold.
+struct ColdNews
+{
+  bool spread = false; ///< The receiver sends it on in its data centre.
+  std::string endpoint;
+  std::uint64_t lifetime = 0; ///< Of the process that said so.
+  std::uint32_t left_ms = 0;  ///< Time for which it stays cold.
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(spread, endpoint, lifetime, left_ms);
+  }
+};
+
 /// @brief Tells that an endpoint has ended under a request, or that a request
 /// under which some had ended was answered.
 struct CrashNews
@@ -640,7 +655,8 @@
                                  MembersAsk,
                                  MembersNews,
                                  LimitNews,
-                                 CrashNews>;
+                                 CrashNews,
+                                 ColdNews>;
 
 /// @brief Asks a peer for the newest head and what leads to it.
 struct FetchState
--- a/src/sapphirelane/proxy/dispatcher.cpp
+++ b/src/sapphirelane/proxy/dispatcher.cpp
@@ -81,6 +81,7 @@
     , m_admission(m_options.limits, m_control)
     , m_services(m_options.limits,
                  m_options.policies,
+                 m_options.cold_starts,
                  m_options.seed,
                  m_control,
                  m_metrics)
@@ -132,8 +133,14 @@
     AdmitEarlyRequests(aNow);
     ProcessControlEvents(aNow);
     CheckRequests(aNow);
+    const auto view = m_control.View(aNow);
+    const TimePoint viewTime = !view ? aNow
+                               : view->age < aNow - TimePoint{}
+                                 ? aNow - view->age
+                                 : TimePoint{};
     for (auto& entry : m_services.All()) {
       entry.second.state->SetLimitShare(m_control.LimitShare());
+      entry.second.state->SetViewTime(viewTime);
       RefuseLate(entry.second, aNow);
       m_services.UpdateEjections(entry.first, aNow);
       m_services.LogIdleEndpoints(entry.first, aNow);
@@ -405,6 +412,14 @@
     }
   }
 
+  void OnControl(const ColdReport& aReport, TimePoint aNow)
+  {
+    ServiceEntry* service = m_services.Find(aReport.service);
+    if (service != nullptr) {
+      SignalHandler::OnReport(aReport, *service->state, aNow);
+    }
+  }
+
   void OnControl(const CrashReport& aReport, TimePoint aNow)
   {
     m_crashes.OnReport(aReport, aNow);
@@ -793,6 +808,11 @@
                   .Add(ViewFields(aNow))
                   .Add("left_ms", aRequest.deadline - aNow));
     m_metrics.Count("attempts_total", { { "service", aRequest.service } });
+    if (placed->cold) {
+      m_metrics.Count(
+        "cold_attempts_total",
+        { { "endpoint", placed->endpoint }, { "service", aRequest.service } });
+    }
     m_upstreams.Start(MakeAttemptOrder(
       aRequest, attempt, *placed, m_options.dialect, m_options.limits, aNow));
     return true;
@@ -832,6 +852,7 @@
     if (!attempt->misdirected && !unverified) {
       m_signals.ApplyLimit(
         aEvent.head, aRequest.service, *attempt, state, aNow);
+      m_signals.ApplyCold(aEvent.head, aRequest.service, *attempt, state, aNow);
     }
     if (notRun) {
       OnShedResponse(aId, aRequest, *attempt, aEvent, aNow);
--- a/src/sapphirelane/proxy/endpoint_limit_simulation_test.cpp
+++ b/src/sapphirelane/proxy/endpoint_limit_simulation_test.cpp
@@ -22,6 +22,8 @@
   int endpoints = 6;
   std::vector<double> limits = { 0.5, 0.5, 1, 1.6 }; ///< Of the first ones.
   double load = 13;                                  ///< Requests a second.
+  double cold_per_second = 0; ///< Of the service's endpoints.
+  double cold_slack = 8;
   double loss = 0; ///< Share of datagrams that are lost.
   std::uint64_t seed = 1;
 };
@@ -36,6 +38,10 @@
     , m_random(aOptions.seed)
     , m_world(aOptions.daemons, aOptions.centres, true)
   {
+    Service service{ "s", 50, 330 };
+    service.cold_per_second = aOptions.cold_per_second;
+    service.cold_start = kColdTime;
+    m_world.SetService(service);
     AddRoutes();
     for (int i = 0; i < kWorldEndpoints; ++i) {
       m_world.RemoveEndpoint("e" + std::to_string(i));
@@ -71,6 +77,44 @@
     daemon = std::make_unique<Daemon>(*this, aDaemon);
   }
 
+  /// Lists the endpoints of a data centre that returns.
+  void Return(int aEndpoints)
+  {
+    for (int i = 0; i < aEndpoints; ++i) {
+      m_returned.push_back("r" + std::to_string(i));
+      m_world.SetEndpoint(
+        m_returned.back(), LifeState::InService, "centre-0", kColdTime);
+    }
+  }
+
+  /// Requests of a returned endpoint in any second at most.
+  int MostInOneSecond()
+  {
+    std::ptrdiff_t most = 0;
+    for (const std::string& id : m_returned) {
+      const std::vector<TimePoint>& arrivals = m_servers[id].arrivals;
+      for (TimePoint at : arrivals) {
+        most = std::max(
+          most,
+          std::count_if(
+            arrivals.begin(), arrivals.end(), [at](TimePoint aItem) {
+              return aItem >= at && aItem < at + std::chrono::seconds(1);
+            }));
+      }
+    }
+    return static_cast<int>(most);
+  }
+
+  /// Requests a second of the returned endpoints on average.
+  double ReturnedRate(Duration aTime)
+  {
+    double count = 0;
+    for (const std::string& id : m_returned) {
+      count += static_cast<double>(m_servers[id].arrivals.size());
+    }
+    return count / ToSeconds(aTime) / static_cast<double>(m_returned.size());
+  }
+
   FleetWorld& World() { return m_world; }
 
   /// Windows of 4 s from 3 s after a limit was first named, in which an
@@ -127,6 +171,7 @@
 private:
   static constexpr int kWorldEndpoints = 6; ///< FleetWorld begins with.
   static constexpr Milliseconds kStep{ 5 };
+  static constexpr Milliseconds kColdTime{ 15000 };
   static constexpr Milliseconds kServiceTime{ 290 };
   static constexpr std::size_t kServerQueue = 4;
 
@@ -149,6 +194,7 @@
       options.policies.ejector = "spells";
       options.policies.retry = "fixed-attempts";
       options.policies.ahead = 4;
+      options.cold_starts.slack = aFleet.m_options.cold_slack;
       options.seed = static_cast<std::uint64_t>(aNumber) + 1;
       dispatcher =
         MakeDispatcher(options, aFleet.m_world.At(aNumber), *this, *metrics);
@@ -333,6 +379,7 @@
   std::mt19937_64 m_random;
   FleetWorld m_world;
   std::map<std::string, Server> m_servers;
+  std::vector<std::string> m_returned;
   std::optional<TimePoint> m_limitsSince;
   TimePoint m_judgedTo{};
   std::vector<std::unique_ptr<Daemon>> m_daemons;
@@ -420,5 +467,45 @@
   CHECK(fleet.BrokenWindows() == 0);
 }
 
+/// Plays a fleet to which the cold endpoints of a data centre return under
+/// load.
+/// @return Requests of one of them in any second at most.
+int
+PlayReturn(double aColdPerSecond, double aLoss, bool aRestarts)
+{
+  LimitedFleetOptions options;
+  options.limits.clear();
+  options.load = 400;
+  options.loss = aLoss;
+  options.cold_per_second = aColdPerSecond;
+  options.cold_slack = 4;
+  LimitedFleet fleet(options);
+  fleet.Run(std::chrono::seconds(4));
+  fleet.Return(6);
+  for (int second = 0; second < 12; ++second) {
+    if (aRestarts) {
+      fleet.Restart(second * 5 % options.daemons);
+    }
+    fleet.Run(std::chrono::seconds(1));
+  }
+  const int most = fleet.MostInOneSecond();
+  const double rate = fleet.ReturnedRate(std::chrono::seconds(12));
+  CAPTURE(aColdPerSecond, aLoss, aRestarts, most, rate);
+  CHECK(rate >= aColdPerSecond / 4);
+  return most;
+}
+
+/// Guards against a herd of daemons at endpoints that have just returned. The
+/// bound is 1 x 1.5 + 4, rounded down; without one, the daemons send more.
+TEST_CASE("Dispatcher, data centre returns, cold endpoints get no more than "
+          "their bound",
+          "[cold][large]")
+{
+  CHECK(PlayReturn(0, 0, false) > 5);
+  CHECK(PlayReturn(1, 0, false) <= 5);
+  CHECK(PlayReturn(1, 0.1, false) <= 5);
+  CHECK(PlayReturn(1, 0.1, true) <= 5);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/endpoint_signals.cpp
+++ b/src/sapphirelane/proxy/endpoint_signals.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
+#include "sapphirelane/config/fleet.h"
+
 namespace sapphirelane {
 
 namespace {
@@ -16,6 +18,37 @@
 /// Limits above this are none: no endpoint takes as many requests.
 constexpr double kMaxLimit = 1e6;
 
+/// Whether a header has the same value wherever it occurs.
+bool
+IsUnambiguous(const ResponseHead& aHead,
+              const std::string& aName,
+              const std::string& aValue)
+{
+  return std::all_of(
+    aHead.headers.begin(), aHead.headers.end(), [&](const Header& aHeader) {
+      return !absl::EqualsIgnoreCase(aHeader.first, aName) ||
+             aHeader.second == aValue;
+    });
+}
+
+/// Reads the time for which an endpoint stays cold. Two different ones are
+/// malformed.
+void
+ReadColdTime(const ResponseHead& aHead,
+             const HttpDialect& aDialect,
+             EndpointSignals& aSignals)
+{
+  const std::string* first = FindHeader(aHead.headers, aDialect.cold);
+  if (first == nullptr) {
+    return;
+  }
+  const bool same = IsUnambiguous(aHead, aDialect.cold, *first);
+  aSignals.cold = same ? ParseColdTime(*first) : std::nullopt;
+  if (!aSignals.cold) {
+    aSignals.malformed.push_back(aDialect.cold);
+  }
+}
+
 /// Reads an endpoint's limit. Two different ones are malformed.
 void
 ReadLimit(const ResponseHead& aHead,
@@ -26,11 +59,7 @@
   if (first == nullptr) {
     return;
   }
-  const bool same = std::all_of(
-    aHead.headers.begin(), aHead.headers.end(), [&](const Header& aHeader) {
-      return !absl::EqualsIgnoreCase(aHeader.first, aDialect.limit) ||
-             aHeader.second == *first;
-    });
+  const bool same = IsUnambiguous(aHead, aDialect.limit, *first);
   const auto limit = same ? ParseLimit(*first) : std::nullopt;
   aSignals.limit_malformed = !limit;
   if (!limit) {
@@ -65,6 +94,18 @@
   return limit;
 }
 
+std::optional<Duration>
+ParseColdTime(const std::string& aText)
+{
+  double millis = 0;
+  if (!absl::SimpleAtod(aText, &millis) || !std::isfinite(millis) ||
+      millis < 0 || millis > static_cast<double>(kMaxColdTime.count())) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(millis));
+}
+
 EndpointSignals
 ReadSignals(const ResponseHead& aHead, const HttpDialect& aDialect)
 {
@@ -84,6 +125,7 @@
     }
   }
   ReadLimit(aHead, aDialect, signals);
+  ReadColdTime(aHead, aDialect, signals);
   constexpr const char* kRetryAfter = "Retry-After";
   const std::string* retryAfter = FindHeader(aHead.headers, kRetryAfter);
   if (retryAfter != nullptr && aHead.status == kServiceUnavailable) {
--- a/src/sapphirelane/proxy/endpoint_signals_test.cpp
+++ b/src/sapphirelane/proxy/endpoint_signals_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "sapphirelane/config/fleet.h"
+
 namespace sapphirelane {
 namespace {
 
@@ -117,5 +119,24 @@
           dialect.load, dialect.leaving, dialect.limit, "Retry-After" });
 }
 
+TEST_CASE("ReadSignals, cold times, are read if plausible and listed if not")
+{
+  const HttpDialect dialect;
+  const auto read = [&](std::vector<Header> aHeaders) {
+    return ReadSignals({ 200, std::move(aHeaders), std::nullopt }, dialect);
+  };
+  CHECK(read({ { dialect.cold, "1500" } }).cold == Milliseconds(1500));
+  CHECK(read({ { dialect.cold, "0" } }).cold == Duration(0));
+  CHECK(read({ { dialect.cold, "600000" } }).cold == kMaxColdTime);
+  CHECK_FALSE(read({}).cold);
+  for (const char* text : { "-1", "600001", "1e300", "nan", "soon", "" }) {
+    INFO(text);
+    const EndpointSignals signals = read({ { dialect.cold, text } });
+    CHECK_FALSE(signals.cold);
+    CHECK(signals.malformed == std::vector<std::string>{ dialect.cold });
+  }
+  CHECK_FALSE(read({ { dialect.cold, "10" }, { dialect.cold, "20" } }).cold);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/entry_app.cpp
+++ b/src/sapphirelane/proxy/entry_app.cpp
@@ -38,6 +38,7 @@
     DispatcherOptions options;
     options.limits = m_settings.limits;
     options.policies = m_settings.policies;
+    options.cold_starts = m_settings.cold_starts;
     options.dialect = m_dialect;
     options.seed = RandomBits();
     m_dispatcher =
--- a/src/sapphirelane/proxy/service_book.cpp
+++ b/src/sapphirelane/proxy/service_book.cpp
@@ -45,11 +45,13 @@
 
 ServiceTable::ServiceTable(const LimitSettings& aLimits,
                            const PolicySettings& aPolicies,
+                           const ColdStartSettings& aColdStarts,
                            std::uint64_t aSeed,
                            FleetControl& aControl,
                            Metrics& aMetrics)
   : m_limits(aLimits)
   , m_policies(aPolicies)
+  , m_coldStarts(aColdStarts)
   , m_seed(aSeed)
   , m_control(aControl)
   , m_metrics(aMetrics)
@@ -86,6 +88,11 @@
     service.state->SetHearing([this](const std::string& aEndpoint) {
       return m_control.HearsWorkOf(aEndpoint);
     });
+    service.state->SetColdOwnership([this](const std::string& aEndpoint,
+                                           std::size_t aOwners,
+                                           TimePoint aTime) {
+      return m_control.ColdOwnerRank(aEndpoint, aOwners, aTime);
+    });
     service.state->Load(*config, entry.first, rank.first, rank.second, aNow);
     service.has_safe_route = HasSafeRoute(*config, entry.first);
   }
@@ -95,14 +102,15 @@
 void
 ServiceTable::InitEntry(ServiceEntry& aEntry) const
 {
-  aEntry.state =
-    std::make_unique<ServiceState>(BalancerRegistry::Make(m_policies.balancer),
-                                   EjectorRegistry::Make(m_policies.ejector),
-                                   ServiceStateOptions{ m_policies.pool,
-                                                        m_policies.ahead,
-                                                        m_control.DataCentre(),
-                                                        m_limits.proven,
-                                                        m_seed });
+  aEntry.state = std::make_unique<ServiceState>(
+    BalancerRegistry::Make(m_policies.balancer),
+    EjectorRegistry::Make(m_policies.ejector),
+    ServiceStateOptions{ m_policies.pool,
+                         m_policies.ahead,
+                         m_control.DataCentre(),
+                         m_limits.proven,
+                         m_seed,
+                         { m_coldStarts.overage, m_coldStarts.slack } });
   aEntry.queue =
     QueueRegistry::Make(m_policies.queue, m_limits.queue_per_account);
 }
@@ -138,6 +146,54 @@
           fields.Add("idle_endpoints", list));
 }
 
+/// Logs which endpoints have turned cold, and those that are cold no longer
+/// with what this daemon has sent to them. One line names all, as a data centre
+/// that returns has many.
+void
+ServiceTable::LogColdChanges(const std::string& aName,
+                             ServiceEntry& aEntry,
+                             TimePoint aNow)
+{
+  const std::vector<ColdChange> changes = aEntry.state->TakeColdChanges(aNow);
+  if (changes.empty()) {
+    return;
+  }
+  std::uint64_t cold = 0;
+  std::uint64_t warm = 0;
+  std::uint64_t sent = 0;
+  Duration left{ 0 };
+  std::string coldIds;
+  std::string warmIds;
+  for (const ColdChange& change : changes) {
+    std::string& ids = change.cold ? coldIds : warmIds;
+    ids += (ids.empty() ? "" : ",") + change.endpoint;
+    ++(change.cold ? cold : warm);
+    left = std::max(left, change.left);
+    sent += change.cold ? 0 : change.sent;
+  }
+  if (cold > 0) {
+    LogLine("health",
+            "Endpoints are cold; the requests to them are bounded.",
+            LogFields()
+              .Add("service", aName)
+              .Add("count", cold)
+              .Add("left_ms", left)
+              .Add("endpoints", coldIds));
+  }
+  if (warm > 0) {
+    LogLine("health",
+            "Endpoints are cold no longer.",
+            LogFields()
+              .Add("service", aName)
+              .Add("count", warm)
+              .Add("sent", sent)
+              .Add("endpoints", warmIds));
+  }
+  m_metrics.Set("cold_endpoints",
+                { { "service", aName } },
+                static_cast<double>(aEntry.state->Cold(aNow)));
+}
+
 ServiceEntry*
 ServiceTable::Find(const std::string& aName)
 {
@@ -154,6 +210,7 @@
     return;
   }
   service.last_ejection_update = aNow;
+  LogColdChanges(aName, service, aNow);
   for (const EjectionChange& change : service.state->Judge(aNow)) {
     LogLine("health",
             "An endpoint's standing has changed.",
--- a/src/sapphirelane/proxy/service_book.h
+++ b/src/sapphirelane/proxy/service_book.h
@@ -32,6 +32,7 @@
 public:
   ServiceTable(const LimitSettings& aLimits,
                const PolicySettings& aPolicies,
+               const ColdStartSettings& aColdStarts,
                std::uint64_t aSeed,
                FleetControl& aControl,
                Metrics& aMetrics);
@@ -56,10 +57,14 @@
   std::map<std::string, ServiceEntry>& All() { return m_services; }
 
 private:
+  void LogColdChanges(const std::string& aName,
+                      ServiceEntry& aEntry,
+                      TimePoint aNow);
   void InitEntry(ServiceEntry& aEntry) const;
 
   const LimitSettings m_limits;
   const PolicySettings m_policies;
+  const ColdStartSettings m_coldStarts;
   const std::uint64_t m_seed; ///< Of random waits.
   FleetControl& m_control;
   Metrics& m_metrics;
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -91,7 +91,9 @@
                    TimePoint aNow)
 {
   m_service = aService;
-  m_minHealthyPercent = aConfig.services.at(aService).floor;
+  const Service& service = aConfig.services.at(aService);
+  m_minHealthyPercent = service.floor;
+  m_coldStarts.SetRate(service.cold_per_second, m_options.cold_starts);
   const bool first = m_endpoints.empty();
   std::vector<std::string> ids;
   std::uint32_t connections = 0;
@@ -128,6 +130,10 @@
       state.cold_until = aNow + endpoint.cold;
     }
     state.endpoint = endpoint;
+    if (restarted) {
+      m_coldStarts.Reset(id);
+    }
+    LoadColdTime(state, service, m_loaded && newlyCold, aNow);
     state.heard = !m_hearsWorkOf || m_hearsWorkOf(id);
     if (!state.heard) {
       state.others_in_flight = 0;
@@ -136,8 +142,18 @@
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
     const bool configured =
       std::binary_search(ids.begin(), ids.end(), it->first);
+    if (!configured) {
+      m_coldStarts.Remove(it->first);
+    }
     it = configured ? std::next(it) : m_endpoints.erase(it);
   }
+  m_loaded = true;
+  for (const std::string& dataCentre : std::exchange(m_evacuated, {})) {
+    if (aConfig.evacuated.count(dataCentre) == 0) {
+      MarkReturned(dataCentre, aNow);
+    }
+  }
+  m_evacuated = aConfig.evacuated;
   m_notices.RemoveExpired(aNow);
   m_limits.RemoveExpired(aNow);
   const std::size_t size =
@@ -149,6 +165,24 @@
   }
 }
 
+/// Applies the cold time of an endpoint's entry. An endpoint that started while
+/// this daemon runs is cold even if its entry does not say so yet.
+/// @param aStarted It has joined, restarted or come back.
+void
+ServiceState::LoadColdTime(const EndpointState& aState,
+                           const Service& aService,
+                           bool aStarted,
+                           TimePoint aNow)
+{
+  const Endpoint& endpoint = aState.endpoint;
+  const bool wasWarm = !aStarted && aState.last_used_at != TimePoint{};
+  m_coldStarts.Extend(
+    endpoint.id,
+    std::max(endpoint.cold_until, aStarted ? aNow + aService.cold_start : aNow),
+    wasWarm,
+    aNow);
+}
+
 /// @return Number of attempts that may be sent to an endpoint now.
 std::uint32_t
 ServiceState::FreeCapacity(const EndpointState& aState) const
@@ -186,15 +220,33 @@
   const std::string& id = aState.endpoint.id;
   const bool withinLimit =
     !m_limits.LimitOf(id) || (aState.heard && m_limits.MaySend(id, aNow));
-  return AcceptsRequests(aState, aNow) && withinLimit;
+  return AcceptsRequests(aState, aNow) && withinLimit &&
+         (!m_coldStarts.IsCold(id, aNow) ||
+          m_coldStarts.MaySend(id, ColdOwnerRank(id, aNow), aNow));
+}
+
+std::optional<std::size_t>
+ServiceState::ColdOwnerRank(const std::string& aEndpoint, TimePoint aNow) const
+{
+  return m_coldOwnerRank
+           ? m_coldOwnerRank(aEndpoint, m_coldStarts.Plan().owners, aNow)
+           : std::optional<std::size_t>(0);
 }
 
-/// Slots of an endpoint that its limit allows to be in use on average.
+/// Slots of an endpoint that its limit, or what it takes while it is cold,
+/// allows to be in use on average.
 double
-ServiceState::SlotsWithinLimit(const EndpointState& aState) const
+ServiceState::SlotsWithinLimit(const EndpointState& aState,
+                               TimePoint aNow) const
 {
-  const double slots = aState.endpoint.slots;
-  const auto limit = m_limits.LimitOf(aState.endpoint.id);
+  double slots = aState.endpoint.slots;
+  const std::string& id = aState.endpoint.id;
+  if (m_coldStarts.IsCold(id, aNow)) {
+    const double rate =
+      ColdOwnerRank(id, aNow) ? m_coldStarts.RateOfOwner() : 0;
+    slots = std::min(slots, rate * ToSeconds(MeanLatency()));
+  }
+  const auto limit = m_limits.LimitOf(id);
   if (!limit) {
     return slots;
   }
@@ -224,7 +276,8 @@
   candidate.failure_cost = aRequest.repeatable ? kRetryableFailureCost : 1;
   candidate.connected = aState.idle_connections > 0 &&
                         aNow - aState.last_kept_at < m_options.connection_life;
-  candidate.cold = aNow < aState.cold_until;
+  candidate.cold =
+    aNow < aState.cold_until || m_coldStarts.IsCold(aState.endpoint.id, aNow);
   constexpr double kBytesPerMegabyte = 1e6;
   if (IsInOtherDataCentre(aState)) {
     candidate.transfer_cost = static_cast<double>(aRequest.body_bytes) /
@@ -288,6 +341,7 @@
                         state.endpoint.address,
                         state.endpoint.lifetime,
                         true,
+                        m_coldStarts.IsCold(id, aNow),
                         0,
                         LogFields().Add("choice", "trial") };
     }
@@ -324,6 +378,7 @@
                     endpoint.address,
                     endpoint.lifetime,
                     false,
+                    m_coldStarts.IsCold(chosen.id, aNow),
                     std::max(0.0, inFlight + 1 - slots) / slots,
                     inputs };
 }
@@ -356,6 +411,7 @@
 {
   const auto isCounted = [this, aNow](const EndpointState& aState) {
     return MaySendTo(aState, aNow) &&
+           !m_coldStarts.IsCold(aState.endpoint.id, aNow) &&
            aNow - aState.last_failed_at > kRecentFailureTime && aState.heard;
   };
   const auto isIdle = [aNow](const EndpointState& aState) {
@@ -394,7 +450,8 @@
   for (const auto& entry : m_endpoints) {
     const EndpointState& state = entry.second;
     if (IsEligible(state, aNow)) {
-      const bool limited = m_limits.LimitOf(entry.first).has_value();
+      const bool limited = m_limits.LimitOf(entry.first).has_value() ||
+                           m_coldStarts.IsCold(entry.first, aNow);
       free += limited ? 1 : FreeCapacity(state);
     }
   }
@@ -410,6 +467,7 @@
     ++state.in_flight;
     state.last_used_at = aNow;
     m_limits.RecordSent(aEndpoint, 1, aNow);
+    m_coldStarts.RecordSent(aEndpoint, aNow);
     state.idle_connections -= state.idle_connections > 0 ? 1 : 0;
   }
 }
@@ -444,7 +502,7 @@
   for (const auto& entry : m_endpoints) {
     const EndpointState& state = entry.second;
     if (AcceptsRequests(state, aNow)) {
-      const double within = SlotsWithinLimit(state);
+      const double within = SlotsWithinLimit(state, aNow);
       const double used = state.in_flight + state.others_in_flight;
       slots += within;
       ahead += within < state.endpoint.slots ? std::min(within, used) : used;
@@ -458,8 +516,8 @@
     Seconds(batches * ToSeconds(MeanLatency())));
 }
 
-/// Time until the first endpoint in service wants requests again; the largest
-/// duration if there is none.
+/// Time until the first endpoint in service wants requests again or is warm;
+/// the largest duration if there is none.
 Duration
 ServiceState::RestOfService(TimePoint aNow) const
 {
@@ -468,6 +526,8 @@
     const auto until = m_notices.RestsUntil(id, aNow);
     if (until && IsInService(state, aNow)) {
       rest = std::min(rest, *until - aNow);
+    } else if (AcceptsRequests(state, aNow) && m_coldStarts.IsCold(id, aNow)) {
+      rest = std::min(rest, m_coldStarts.ColdFor(id, aNow));
     }
   }
   return rest;
@@ -559,6 +619,32 @@
   return changed;
 }
 
+bool
+ServiceState::NoteCold(const std::string& aEndpoint,
+                       Duration aLeft,
+                       TimePoint aNow)
+{
+  return m_endpoints.count(aEndpoint) == 1 &&
+         m_coldStarts.Extend(aEndpoint, aNow + aLeft, true, aNow);
+}
+
+bool
+ServiceState::NoteReportedCold(const ColdReport& aReport, TimePoint aNow)
+{
+  const bool sameProcess = aReport.lifetime == LifetimeOf(aReport.endpoint);
+  return sameProcess && NoteCold(aReport.endpoint, aReport.left, aNow);
+}
+
+void
+ServiceState::MarkReturned(const std::string& aDataCentre, TimePoint aNow)
+{
+  for (const auto& [id, state] : m_endpoints) {
+    if (state.endpoint.data_centre == aDataCentre) {
+      m_coldStarts.MarkReturned(id, aNow);
+    }
+  }
+}
+
 std::uint64_t
 ServiceState::LifetimeOf(const std::string& aEndpoint) const
 {
@@ -680,6 +766,9 @@
   if (!AcceptsRequests(aState, aNow)) {
     return "wants-no-requests";
   }
+  if (m_coldStarts.IsCold(aState.endpoint.id, aNow)) {
+    return "cold";
+  }
   if (!MaySendTo(aState, aNow)) {
     return "limited";
   }
--- a/src/sapphirelane/proxy/service_state_test.cpp
+++ b/src/sapphirelane/proxy/service_state_test.cpp
@@ -266,5 +266,134 @@
   CHECK(m_state->HedgeAfter() <= 3 * m_latency);
 }
 
+/// A service whose endpoints take 3.5 requests a second while they are cold.
+class ColdServiceFixture : public ServiceStateFixture
+{
+protected:
+  ColdServiceFixture()
+  {
+    Make(4, 2);
+    m_config.services["s"].cold_per_second = 3.5;
+    m_config.services["s"].cold_start = Milliseconds(12000);
+    Load();
+    m_state->SetColdOwnership([this](const std::string& /*aEndpoint*/,
+                                     std::size_t /*aOwners*/,
+                                     TimePoint /*aNow*/) { return m_rank; });
+  }
+
+  void Load() { m_state->Load(m_config, "s", 0, 1, m_now); }
+
+  /// Sends requests for a time.
+  /// @return Number of those that one endpoint got.
+  int SendTo(const std::string& aEndpoint, Duration aTime)
+  {
+    int count = 0;
+    PlaceRequest request;
+    request.explores = true;
+    for (const TimePoint end = m_now + aTime; m_now < end;) {
+      count += static_cast<int>(Send(1, request).count(aEndpoint));
+    }
+    return count;
+  }
+
+  std::optional<std::size_t> m_rank = 0;
+};
+
+TEST_CASE_METHOD(ColdServiceFixture,
+                 "ServiceState, endpoint joins whose entry does not say that "
+                 "it is cold, gets an owner's share")
+{
+  CHECK(m_state->Cold(m_now) == 0); // They were there before this daemon.
+  Add("new", 2);
+  Load();
+  CHECK(m_state->Cold(m_now) == 1);
+  const int owned = SendTo("new", std::chrono::seconds(6));
+  CHECK(owned >= 1);
+  CHECK(owned <= 4);
+  m_rank = std::nullopt;
+  CHECK(SendTo("new", std::chrono::seconds(5)) == 0);
+  m_now += std::chrono::seconds(2);
+  CHECK(m_state->Cold(m_now) == 0);
+  CHECK(SendTo("new", std::chrono::seconds(5)) > 0);
+}
+
+TEST_CASE_METHOD(ColdServiceFixture,
+                 "ServiceState, endpoints restart or come back, are cold, and "
+                 "no cold endpoint without a rate")
+{
+  m_config.endpoints["e100"].lifetime = 2;
+  Load();
+  CHECK(m_state->Cold(m_now) == 1);
+  const Endpoint gone = m_config.endpoints["e101"];
+  m_config.endpoints.erase("e101");
+  Load();
+  m_config.endpoints["e101"] = gone;
+  Load();
+  CHECK(m_state->Cold(m_now) == 2);
+  m_config.services["s"].cold_per_second = 0;
+  m_config.endpoints["e102"].lifetime = 2;
+  Load();
+  CHECK(m_state->Cold(m_now) == 0);
+}
+
+/// Guards against a whole service that comes back and counts as warm, as this
+/// daemon knew no endpoint of it any more.
+TEST_CASE_METHOD(ColdServiceFixture,
+                 "ServiceState, all endpoints of a service come back, are cold")
+{
+  const auto endpoints = m_config.endpoints;
+  m_config.endpoints.clear();
+  Load();
+  m_config.endpoints = endpoints;
+  Load();
+  CHECK(m_state->Cold(m_now) == 4);
+}
+
+TEST_CASE_METHOD(ColdServiceFixture,
+                 "ServiceState, all endpoints are cold and others own them, "
+                 "waits until they are warm")
+{
+  m_rank = std::nullopt;
+  for (int i = 100; i < 104; ++i) {
+    CHECK(m_state->NoteCold(
+      "e" + std::to_string(i), std::chrono::seconds(i - 95), m_now));
+  }
+  CHECK(m_state->FreeSlots(m_now) == 0);
+  CHECK_FALSE(m_state->Place({}, m_now, m_random));
+  CHECK(m_state->ExpectedWait(0, m_now) == std::chrono::seconds(5));
+  m_now += std::chrono::seconds(5);
+  CHECK(m_state->FreeSlots(m_now) > 0);
+}
+
+TEST_CASE_METHOD(ColdServiceFixture,
+                 "ServiceState, reports on cold endpoints, hold for the same "
+                 "process and are told once")
+{
+  const Duration left = std::chrono::seconds(10);
+  CHECK(m_state->NoteCold("e100", left, m_now));
+  CHECK_FALSE(m_state->NoteCold("e100", left, m_now + Milliseconds(500)));
+  CHECK_FALSE(m_state->NoteCold("e100", Duration(0), m_now));
+  CHECK_FALSE(
+    m_state->NoteReportedCold({ "s", "e101", 9, Milliseconds(5000) }, m_now));
+  CHECK(
+    m_state->NoteReportedCold({ "s", "e101", 0, Milliseconds(5000) }, m_now));
+  CHECK(m_state->Cold(m_now) == 2);
+}
+
+TEST_CASE_METHOD(ColdServiceFixture,
+                 "ServiceState, evacuation ends, endpoints are cold until the "
+                 "view is of a time when their entries have been written")
+{
+  m_config.evacuated = { "here" };
+  Load();
+  CHECK(m_state->Cold(m_now) == 0);
+  m_config.evacuated.clear();
+  Load();
+  m_state->SetViewTime(m_now + std::chrono::seconds(1));
+  CHECK(m_state->Cold(m_now + std::chrono::minutes(1)) == 4);
+  m_state->SetViewTime(m_now + std::chrono::seconds(2));
+  CHECK(m_state->Cold(m_now) == 0);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/signal_handler.cpp
+++ b/src/sapphirelane/proxy/signal_handler.cpp
@@ -35,6 +35,18 @@
           fields.Add("from", aFrom));
 }
 
+void
+LogCold(const ColdReport& aReport, const char* aFrom)
+{
+  LogLine("health",
+          "An endpoint says that it is cold.",
+          LogFields()
+            .Add("endpoint", aReport.endpoint)
+            .Add("service", aReport.service)
+            .Add("left_ms", Duration(aReport.left))
+            .Add("from", aFrom));
+}
+
 } // namespace
 
 void
@@ -94,6 +106,36 @@
   }
 }
 
+void
+SignalHandler::ApplyCold(const ResponseHead& aHead,
+                         const std::string& aService,
+                         const Attempt& aAttempt,
+                         ServiceState& aState,
+                         TimePoint aNow)
+{
+  const auto left = ReadSignals(aHead, m_dialect).cold;
+  if (left && aState.NoteCold(aAttempt.endpoint, *left, aNow)) {
+    const ColdReport report{ aService,
+                             aAttempt.endpoint,
+                             aState.LifetimeOf(aAttempt.endpoint),
+                             std::chrono::ceil<Milliseconds>(*left) };
+    LogCold(report, "endpoint");
+    m_control.ShareCold(report, aNow);
+    m_metrics.Count("upstream_cold_times_told_total",
+                    { { "service", aService } });
+  }
+}
+
+void
+SignalHandler::OnReport(const ColdReport& aReport,
+                        ServiceState& aState,
+                        TimePoint aNow)
+{
+  if (aState.NoteReportedCold(aReport, aNow)) {
+    LogCold(aReport, "peer");
+  }
+}
+
 void
 SignalHandler::OnReport(const LimitReport& aReport,
                         ServiceState& aState,
--- a/src/sapphirelane/proxy/signal_handler.h
+++ b/src/sapphirelane/proxy/signal_handler.h
@@ -42,11 +42,24 @@
                   ServiceState& aState,
                   TimePoint aNow);
 
+  /// @brief Applies the cold time that an endpoint states in a response.
+  /// @param aHead Of a response that is known to be the endpoint's.
+  void ApplyCold(const ResponseHead& aHead,
+                 const std::string& aService,
+                 const Attempt& aAttempt,
+                 ServiceState& aState,
+                 TimePoint aNow);
+
   /// @brief Applies another daemon's report on an endpoint's limit.
   void OnReport(const LimitReport& aReport,
                 ServiceState& aState,
                 TimePoint aNow);
 
+  /// @brief Applies another daemon's report that an endpoint is cold.
+  static void OnReport(const ColdReport& aReport,
+                       ServiceState& aState,
+                       TimePoint aNow);
+
   /// @brief Applies another daemon's report that an endpoint leaves.
   void OnReport(const LeaveReport& aReport,
                 ServiceState& aState,
--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -71,7 +71,8 @@
 
   void SetEndpoint(const std::string& aId,
                    LifeState aState,
-                   const std::string& aCentre = "centre-0")
+                   const std::string& aCentre = "centre-0",
+                   Milliseconds aCold = Milliseconds(0))
   {
     Endpoint endpoint;
     endpoint.id = aId;
@@ -79,6 +80,7 @@
     endpoint.state = aState;
     endpoint.address = "10.0.0.1:80";
     endpoint.data_centre = aCentre;
+    endpoint.cold = aCold;
     SetEntry({ aId, ++m_version, endpoint });
   }
 
@@ -135,6 +137,12 @@
     return count;
   }
 
+  /// Takes effect with the next SetConfig.
+  void SetService(const Service& aService)
+  {
+    m_config.services[aService.id] = aService;
+  }
+
   void SetConfig(std::uint64_t aVersion)
   {
     m_config.version = aVersion;
--- a/src/sapphirelane/relay/hostile_message_test.cpp
+++ b/src/sapphirelane/relay/hostile_message_test.cpp
@@ -60,7 +60,12 @@
   crash.request = kMax64;
   crash.process = kMax64;
   crash.worked_ms = kMax32;
-  return { presence, work, view, leave, crash };
+  ColdNews cold;
+  cold.spread = true;
+  cold.endpoint = "e0";
+  cold.lifetime = kMax64;
+  cold.left_ms = kMax32;
+  return { presence, work, view, leave, crash, cold };
 }
 
 /// Guards against one message that takes a daemon down: whatever another one
--- a/src/sapphirelane/relay/peer_book.cpp
+++ b/src/sapphirelane/relay/peer_book.cpp
@@ -455,6 +455,19 @@
     }));
 }
 
+std::vector<std::uint32_t>
+PeerBook::KnownHosts() const
+{
+  std::vector<std::uint32_t> hashes;
+  hashes.reserve(m_peers.size());
+  for (const auto& entry : m_peers) {
+    if (!entry.second.leaving) {
+      hashes.push_back(entry.second.hash);
+    }
+  }
+  return hashes;
+}
+
 bool
 PeerBook::IsMember(const Peer& aPeer, TimePoint aNow) const
 {
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -12,6 +12,7 @@
 #include "sapphirelane/relay/retry_handover.h"
 #include "sapphirelane/relay/spreader.h"
 #include "sapphirelane/relay/view_keeper.h"
+#include "sapphirelane/routing/cold_start_limits.h"
 
 namespace sapphirelane {
 
@@ -51,6 +52,13 @@
 /// learns from the endpoint or the view.
 constexpr std::size_t kRelaysOfLeavesPerCentre = 2;
 
+/// Time without a further host after which a daemon that has started counts as
+/// knowing all hosts, and the uptime from which it does in any case. Until then
+/// it sends nothing to cold endpoints. It is longer than a second, so that two
+/// runs on one host do not send in the same second.
+constexpr Milliseconds kAllHostsKnownAfter{ 2000 };
+constexpr Milliseconds kAllHostsKnownUptime{ 30000 };
+
 /// Validity of a granted token. It only has to outlast the request, as no right
 /// to send expires in this kind of fleet.
 constexpr Milliseconds kTokenLifetime{ 60000 };
@@ -212,6 +220,26 @@
       update, m_sender.PickRelays(kRelaysOfLeavesPerCentre, aNow), aNow);
   }
 
+  void ShareCold(const ColdReport& aReport, TimePoint aNow) override
+  {
+    ColdNews update;
+    update.endpoint = aReport.endpoint;
+    update.lifetime = aReport.lifetime;
+    update.left_ms = static_cast<std::uint32_t>(aReport.left.count());
+    m_sender.SendToAll(
+      update, m_sender.PickRelays(kRelaysOfLeavesPerCentre, aNow), aNow);
+  }
+
+  std::optional<std::size_t> ColdOwnerRank(const std::string& aEndpoint,
+                                           std::size_t aOwners,
+                                           TimePoint /*aNow*/) const override
+  {
+    if (!m_knowsAllHosts || m_leaving) {
+      return std::nullopt;
+    }
+    return RankOfOwner(aEndpoint, m_peers.SelfHash(), m_knownHosts, aOwners);
+  }
+
   void ShareCrash(const CrashReport& aReport, TimePoint aNow) override
   {
     CrashNews update;
@@ -258,6 +286,7 @@
       const std::size_t live = m_peers.Live(aNow);
       const std::size_t counted = m_peers.Counted(aNow);
       UpdateMembership(live, counted, aNow);
+      UpdateKnownHosts(aNow);
     }
     m_load.Tick(aNow);
   }
@@ -467,6 +496,24 @@
     m_live = aLive;
   }
 
+  /// Updates the hosts that own cold endpoints. A daemon that knows of fewer
+  /// hosts than there are would own more endpoints than it should.
+  void UpdateKnownHosts(TimePoint aNow)
+  {
+    m_knownHosts = m_peers.KnownHosts();
+    if (m_knowsAllHosts) {
+      return;
+    }
+    m_firstUpdateAt = m_firstUpdateAt == TimePoint{} ? aNow : m_firstUpdateAt;
+    if (m_knownHosts.size() > m_mostKnownHosts) {
+      m_mostKnownHosts = m_knownHosts.size();
+      m_hostsGrewAt = aNow;
+    }
+    const bool settled =
+      m_mostKnownHosts > 0 && aNow - m_hostsGrewAt >= kAllHostsKnownAfter;
+    m_knowsAllHosts = settled || aNow - m_firstUpdateAt >= kAllHostsKnownUptime;
+  }
+
   // Load updates.
 
   void Handle(const std::string& /*aAddress*/,
@@ -521,6 +568,28 @@
     }
   }
 
+  // Endpoints that are cold.
+
+  void Handle(const std::string& /*aAddress*/,
+              const ColdNews& aUpdate,
+              TimePoint aNow)
+  {
+    if (aUpdate.spread) {
+      m_sender.SendLocally(aUpdate, aNow);
+    }
+    const FleetConfig* config = m_view.Config();
+    if (config == nullptr || Milliseconds(aUpdate.left_ms) > kMaxColdTime) {
+      return;
+    }
+    auto found = config->endpoints.find(aUpdate.endpoint);
+    if (found != config->endpoints.end()) {
+      m_events.emplace_back(ColdReport{ found->second.service,
+                                        aUpdate.endpoint,
+                                        aUpdate.lifetime,
+                                        Milliseconds(aUpdate.left_ms) });
+    }
+  }
+
   // Requests under which endpoints end.
 
   void Handle(const std::string& /*aAddress*/,
@@ -575,6 +644,11 @@
   std::size_t m_live = 1;
   double m_churn = 0;                                 ///< See PeerTable::Churn.
   std::pair<std::size_t, std::size_t> m_rank{ 0, 1 }; ///< For subsetting.
+  std::vector<std::uint32_t> m_knownHosts; ///< Hashes, without this host.
+  std::size_t m_mostKnownHosts = 0;
+  TimePoint m_hostsGrewAt{};
+  TimePoint m_firstUpdateAt{};
+  bool m_knowsAllHosts = false;
   bool m_leaving = false;
   bool m_storeAnswers = false;
 };
