Let owners use what cold endpoints take while requests are not served

Cause: only the owners of a cold endpoint send to it, and they spread their requests over all their endpoints; most owners had the endpoint outside their subset. In a trial with 97 daemons, 24 overloaded warm endpoints and 8 cold ones that take 3.5 requests a second, a cold one got 0.09.

Nobody else sends to a cold endpoint, so its connections suffice.

Ruled out: owners chosen within the subsets. A daemon does not know the subsets of others in views that differ.

--- a/src/sapphirelane/proxy/endpoint_limit_simulation_test.cpp
+++ b/src/sapphirelane/proxy/endpoint_limit_simulation_test.cpp
@@ -507,5 +507,28 @@
   CHECK(PlayReturn(1, 0.1, true) <= 5);
 }
 
+/// Guards against cold endpoints that hardly get a request in a large fleet, as
+/// their few owners spread their requests over all endpoints.
+TEST_CASE("Dispatcher, data centre returns while requests are not served, cold "
+          "endpoints get a part of what they take",
+          "[cold][large]")
+{
+  LimitedFleetOptions options;
+  options.daemons = 97;
+  options.limits.clear();
+  options.endpoints = 24;
+  options.load = 200;
+  options.cold_per_second = 3.5;
+  LimitedFleet fleet(options);
+  fleet.Run(std::chrono::seconds(4));
+  fleet.Return(8);
+  fleet.Run(std::chrono::seconds(12));
+  const int most = fleet.MostInOneSecond();
+  const double rate = fleet.ReturnedRate(std::chrono::seconds(12));
+  CAPTURE(most, rate, fleet.ServedShare());
+  CHECK(most <= 13);
+  CHECK(rate >= 1);
+}
+
 } // namespace
 } // namespace sapphirelane
--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -256,8 +256,12 @@
 bool
 ServiceState::IsEligible(const EndpointState& aState, TimePoint aNow) const
 {
-  return aState.in_subset && FreeCapacity(aState) > 0 &&
-         MaySendTo(aState, aNow) && !m_ejector->IsEjected(aState.endpoint.id);
+  // The owners of a cold endpoint are chosen among all hosts. They are few, and
+  // nobody else sends to it, so it has connections for them.
+  const bool reachable =
+    aState.in_subset || m_coldStarts.IsCold(aState.endpoint.id, aNow);
+  return reachable && FreeCapacity(aState) > 0 && MaySendTo(aState, aNow) &&
+         !m_ejector->IsEjected(aState.endpoint.id);
 }
 
 Candidate
@@ -356,6 +360,18 @@
   }
   const auto& choice = candidates.empty() ? avoided : candidates;
   auto explored = aRequest.explores ? FindNewEndpoint(choice) : std::nullopt;
+  if (!explored && aRequest.spread) {
+    // Only its owners can use what a cold endpoint takes, and they have a small
+    // part of the requests.
+    const auto owned = std::find_if(
+      choice.begin(), choice.end(), [&](const Candidate& aCandidate) {
+        return m_coldStarts.IsCold(aCandidate.id, aNow) &&
+               aCandidate.failure <= kMaxProbedFailure;
+      });
+    if (owned != choice.end()) {
+      explored = static_cast<std::size_t>(owned - choice.begin());
+    }
+  }
   if (!explored && (aRequest.spread || aRequest.explores)) {
     explored = PickIdleEndpoint(choice, aRequest, aNow, aRandom);
   }
