--- a/include/sapphirelane/relay/fleet_view.h
+++ b/include/sapphirelane/relay/fleet_view.h
@@ -195,6 +195,7 @@
   /// Local counter of changes of endpoints and evacuations.
   std::uint64_t m_revision = 0;
   std::uint64_t m_digest = 0; ///< See Digest.
+  TimePoint m_now{}; ///< Latest time that was passed in; ages cold times.
   TimePoint m_asOf{};
   TimePoint m_contactAt{}; ///< Latest time at which any daemon read the store.
   TimePoint m_recoveredAt{};                ///< End of the store's last outage.
--- a/src/sapphirelane/relay/fleet_view.cpp
+++ b/src/sapphirelane/relay/fleet_view.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+/// Differences between the statements on one cold time: an entry is read up to
+/// this long after it was written. A longer cold time than known means that the
+/// endpoint has turned cold again.
+constexpr Milliseconds kSameColdTime{ 2000 };
+
 /// Compares the fields that affect where requests are sent.
 bool
 HasSameRouting(const Endpoint& aOne, const Endpoint& aOther)
@@ -214,11 +219,21 @@
 }
 
 /// An entry for another daemon. Its state is known to be current at the view's
-/// version, even if later heartbeats of it were not received.
+/// version, even if later heartbeats of it were not received. Its cold time is
+/// aged, but the entry stays cold until the store says otherwise.
 EndpointChange
 FleetView::ChangeOf(const std::string& aId, const Entry& aEntry) const
 {
-  return { aId, std::max(aEntry.version, m_version), aEntry.Stored() };
+  EndpointChange change{ aId,
+                         std::max(aEntry.version, m_version),
+                         aEntry.Stored() };
+  if (change.endpoint && change.endpoint->cold > Milliseconds::zero()) {
+    const Duration left = change.endpoint->cold_until - m_now;
+    change.endpoint->cold = std::clamp(std::chrono::ceil<Milliseconds>(left),
+                                       Milliseconds(1),
+                                       change.endpoint->cold);
+  }
+  return change;
 }
 
 std::vector<EndpointChange>
@@ -255,7 +270,10 @@
   if (!aChange.endpoint) {
     return RemoveEndpoint(aChange.id, entry, aChange.version, aNow);
   }
-  const Endpoint& next = *aChange.endpoint;
+  m_now = std::max(m_now, aNow);
+  Endpoint next = *aChange.endpoint;
+  next.cold_until =
+    next.cold > Milliseconds::zero() ? aNow + next.cold : TimePoint{};
   if (Distrusts(entry, aChange, aNow)) {
     entry.version = aChange.version;
     entry.distrusted = next;
@@ -265,7 +283,11 @@
   entry.version = aChange.version;
   entry.remove_at.reset();
   entry.distrusted.reset();
-  const bool same = entry.endpoint && HasSameRouting(*entry.endpoint, next);
+  const bool turnedCold =
+    entry.endpoint &&
+    next.cold_until > entry.endpoint->cold_until + kSameColdTime;
+  const bool same =
+    entry.endpoint && HasSameRouting(*entry.endpoint, next) && !turnedCold;
   if (!same && next.state == LifeState::Leaving) {
     m_departures.push_back(aChange);
   }
@@ -273,6 +295,10 @@
     entry.departed_era = aChange.version.era;
   }
   entry.endpoint = next;
+  if (turnedCold) {
+    entry.routing_version = entry.version;
+    entry.changed_at = m_version.IsNone() ? TimePoint{} : aNow;
+  }
   UpdateDigest(aChange.id, entry, aNow);
   return !same;
 }
@@ -374,6 +400,7 @@
 bool
 FleetView::RemoveHeld(TimePoint aNow)
 {
+  m_now = std::max(m_now, aNow);
   if (aNow < m_nextRemoval) {
     return false;
   }
--- a/src/sapphirelane/relay/hostile_message_test.cpp
+++ b/src/sapphirelane/relay/hostile_message_test.cpp
@@ -64,7 +64,12 @@
   crash.process = kMax64;
   crash.worked_ms = kMax32;
   const CounterBase base = { kMax64, work.accounts, work.services };
-  return { presence, work, view, leave, crash, base };
+  ColdNews cold;
+  cold.spread = true;
+  cold.endpoint = "e0";
+  cold.lifetime = kMax64;
+  cold.left_ms = kMax32;
+  return { presence, work, view, leave, crash, base, cold };
 }
 
 /// Guards against one message that takes a daemon down: whatever another one
