Simulate processor time, store limits and restarts of a whole fleet

Cause: it was not known where the time of a fleet-wide restart goes, and the simulation handled any number of datagrams at once.

Change: FleetWorld bounds the datagrams that a daemon handles a second and that wait at it, counts store calls against limits for all daemons together, and kills daemons at once and starts them within 0.3 s. A call that was under way at a restart no longer ends as a call of the next run. All bounds are off by default. The costs of a datagram sent (a tenth of one handled) and of a connection (five) are assumptions.

Ruled out: the store's limits (no call refused, at 500 rows an answer).

--- a/src/sapphirelane/relay/fleet_world.h
+++ b/src/sapphirelane/relay/fleet_world.h
@@ -30,6 +30,15 @@
   std::uint64_t seed = 1;
 };
 
+/// Bounds of the store for all daemons together. A call beyond them ends
+/// without an answer for the caller (429). None by default.
+struct StoreLimits
+{
+  int reads_per_second = 0;        ///< 0 for no bound.
+  int writes_per_second = 0;       ///< 0 for no bound.
+  std::size_t rows_per_read = 500; ///< A larger table takes several reads.
+};
+
 /// Datagrams of one kind that were sent.
 struct MessageCount
 {
@@ -166,6 +175,7 @@
     ++daemon.run;
     daemon.killed = false;
     daemon.calls.clear();
+    daemon.busy_until = TimePoint{};
     StartDaemon(daemon, m_centres);
   }
 
@@ -190,6 +200,38 @@
   /// does not fit waits. Links are unlimited by default.
   void SetLinkRate(double aBytesPerSecond) { m_linkRate = aBytesPerSecond; }
 
+  void SetStoreLimits(const StoreLimits& aLimits) { m_storeLimits = aLimits; }
+
+  /// Sets the time that a daemon takes to handle one datagram. What arrives
+  /// meanwhile waits, and is lost if too much waits. Zero by default.
+  void SetHandlingTime(int aDaemon, Duration aTime)
+  {
+    m_daemons[Index(aDaemon)]->handling_time = aTime;
+  }
+
+  /// Kills daemons at once and starts each again within 0.3 s.
+  void RestartAll(const std::vector<int>& aDaemons)
+  {
+    for (int daemon : aDaemons) {
+      Kill(daemon);
+    }
+    constexpr Milliseconds kLatestStart{ 300 };
+    for (int daemon : aDaemons) {
+      Schedule(DrawTime(kLatestStart), [this, daemon] { Restart(daemon); });
+    }
+  }
+
+  /// Writes the first daemons to the list of hosts in the store.
+  void ListHosts(int aDaemons)
+  {
+    for (int i = 0; i < aDaemons; ++i) {
+      const std::string host = "host-" + std::to_string(i);
+      m_hosts[host] = { host,
+                        "centre-" + std::to_string(i % m_centres),
+                        Address(i) };
+    }
+  }
+
   /// Adds routes to the configuration, which make it larger.
   void AddRoutes(int aCount)
   {
@@ -241,8 +283,22 @@
   }
 
   StoreFleet& At(int aDaemon) { return *m_daemons[Index(aDaemon)]->fleet; }
+  bool IsKilled(int aDaemon) const { return m_daemons[Index(aDaemon)]->killed; }
   int Calls() const { return m_calls; }
 
+  /// Calls that the store refused because of its limits.
+  int LimitedCalls() const { return m_limitedCalls; }
+
+  /// Time that a daemon needs to handle what has reached it.
+  Duration Backlog(int aDaemon) const
+  {
+    return std::max(Duration::zero(),
+                    m_daemons[Index(aDaemon)]->busy_until - m_now);
+  }
+
+  /// Datagrams that were lost as their receiver was busy.
+  int Overruns() const { return m_overruns; }
+
   /// Calls that write or read the list of hosts.
   int HostCalls() const { return m_hostCalls; }
 
@@ -275,6 +331,7 @@
       MessageCount& count = world.m_sent[aMessage.index()];
       count.messages += aAddresses.size();
       count.bytes += aAddresses.size() * bytes.size();
+      Work(static_cast<double>(aAddresses.size()) * kSendShare);
       for (const std::string& address : aAddresses) {
         world.Deliver(number, address, bytes);
       }
@@ -285,6 +342,14 @@
     }
     void CallPeer(BulkCall aCall) override { world.RunBulkCall(number, aCall); }
 
+    /// Takes the processor time of some datagrams.
+    void Work(double aDatagrams)
+    {
+      busy_until =
+        std::max(busy_until, world.m_now) +
+        std::chrono::duration_cast<Duration>(handling_time * aDatagrams);
+    }
+
     FleetWorld& world;
     int number;
     std::uint64_t run = 0;
@@ -299,6 +364,8 @@
     std::deque<SourceCall> calls; ///< To the store; the first one runs.
     TimePoint out_free_at{};      ///< Until then its link sends what waits.
     TimePoint in_free_at{};       ///< Until then its link receives what waits.
+    Duration handling_time{ 0 };  ///< See SetHandlingTime.
+    TimePoint busy_until{};       ///< Until then its processor is busy.
   };
 
   /// Time limits of a call to the store and of a connection to a daemon, as
@@ -313,6 +380,14 @@
   static constexpr std::size_t kEntryBytes = 250;
   static constexpr std::size_t kItemBytes = 150;
 
+  /// Processor time of sending a datagram, and of a connection, in datagrams
+  /// that are handled.
+  static constexpr double kSendShare = 0.1;
+  static constexpr double kConnectionShare = 5;
+
+  /// Datagrams that wait at a busy daemon; further ones are lost.
+  static constexpr int kMaxWaiting = 1000;
+
   static void StartDaemon(Daemon& aDaemon, int aCentres)
   {
     constexpr NodeId kMaxDaemons = 1000000;
@@ -467,23 +542,49 @@
     ScheduleAt(
       to, delay, [this, aFrom, to, bytes = std::move(aBytes)](auto& aFleet) {
         if (Reaches(aFrom, to)) {
-          aFleet.OnMessage(Address(aFrom), DecodeMessage(bytes), m_now);
+          Receive(aFrom, to, bytes, aFleet);
         }
       });
   }
 
+  /// Lets a daemon handle a datagram when its processor is free.
+  void Receive(int aFrom,
+               int aTo,
+               const std::string& aBytes,
+               StoreFleet& aFleet)
+  {
+    Daemon& daemon = *m_daemons[Index(aTo)];
+    if (daemon.handling_time == Duration::zero()) {
+      aFleet.OnMessage(Address(aFrom), DecodeMessage(aBytes), m_now);
+      return;
+    }
+    if (daemon.busy_until - m_now > kMaxWaiting * daemon.handling_time) {
+      ++m_overruns;
+      return;
+    }
+    daemon.Work(1);
+    ScheduleAt(aTo,
+               daemon.busy_until - m_now,
+               [this, aFrom, bytes = aBytes](auto& aReceiver) {
+                 aReceiver.OnMessage(
+                   Address(aFrom), DecodeMessage(bytes), m_now);
+               });
+  }
+
   void RunBulkCall(int aFrom, const BulkCall& aCall)
   {
     ++m_bulkCalls;
     const int to = IndexOfAddress(aCall.address);
     const bool answers = Reaches(aFrom, to) && !m_daemons[Index(to)]->frozen;
     BulkReply reply;
-    if (answers) {
-      reply = m_daemons[Index(to)]->fleet->ServeBulk(aCall.request, m_now);
-    }
     Duration time = kConnectTimeout;
     if (answers) {
-      time = Milliseconds(5) + PassLinks(to, aFrom, EncodeBulk(*reply).size());
+      Daemon& server = *m_daemons[Index(to)];
+      reply = server.fleet->ServeBulk(aCall.request, m_now);
+      server.Work(kConnectionShare);
+      m_daemons[Index(aFrom)]->Work(kConnectionShare);
+      time = Milliseconds(5) + PassLinks(to, aFrom, EncodeBulk(*reply).size()) +
+             std::max(Backlog(to), Backlog(aFrom));
     }
     if (time > kTransferTimeout) {
       time = kTransferTimeout;
@@ -532,8 +633,13 @@
       before = readTime->second;
     }
     before += PassLink(daemon.out_free_at, m_now, kCallBytes);
-    auto finish = [this, aFrom, call, result, after]() mutable {
+    const std::uint64_t run = daemon.run;
+    auto finish = [this, aFrom, run, call, result, after]() mutable {
+      if (m_daemons[Index(aFrom)]->run != run) {
+        return;
+      }
       Duration left = after;
+      result.answered = result.answered && TakeStoreCalls(call);
       if (result.answered) {
         const std::size_t bytes = CallStore(aFrom, call, result);
         left =
@@ -567,12 +673,51 @@
       if (!daemon.calls.empty()) {
         StartSourceCall(aFrom);
       }
-      HandleAt(aFrom, run, [this, result](StoreFleet& aFleet) {
+      const auto handle = [this, result](StoreFleet& aFleet) {
         aFleet.OnSource(result, m_now);
-      });
+      };
+      daemon.Work(1);
+      if (daemon.busy_until <= m_now) {
+        HandleAt(aFrom, run, handle);
+      } else {
+        ScheduleAt(aFrom, Backlog(aFrom), handle);
+      }
     });
   }
 
+  /// Number of reads by which the store answers a call.
+  int CountReads(const SourceCall& aCall) const
+  {
+    std::size_t rows = 0;
+    if (aCall.kind == SourceCall::Kind::ReadEndpoints && aCall.after == 0) {
+      rows = m_endpoints.size();
+    } else if (aCall.kind == SourceCall::Kind::ReadHosts) {
+      rows = m_hosts.size();
+    }
+    return 1 + static_cast<int>(rows / m_storeLimits.rows_per_read);
+  }
+
+  /// Counts a call against the limits of the store.
+  /// @return False if the store refuses it.
+  bool TakeStoreCalls(const SourceCall& aCall)
+  {
+    constexpr std::chrono::seconds kInterval{ 1 };
+    if (m_now >= m_storeInterval + kInterval) {
+      m_storeInterval = m_now;
+      m_storeReads = 0;
+      m_storeWrites = 0;
+    }
+    const bool writes = aCall.kind == SourceCall::Kind::WriteHost ||
+                        aCall.kind == SourceCall::Kind::RemoveHost;
+    (writes ? m_storeWrites : m_storeReads) += writes ? 1 : CountReads(aCall);
+    const int limit =
+      writes ? m_storeLimits.writes_per_second : m_storeLimits.reads_per_second;
+    const bool taken =
+      limit == 0 || (writes ? m_storeWrites : m_storeReads) <= limit;
+    m_limitedCalls += taken ? 0 : 1;
+    return taken;
+  }
+
   /// Makes a call at the store.
   /// @return Size of its answer in bytes.
   std::size_t CallStore(int aFrom,
@@ -643,6 +788,12 @@
   int m_hostCalls = 0;
   int m_bulkCalls = 0;
   int m_lastReader = 0;
+  StoreLimits m_storeLimits;
+  TimePoint m_storeInterval{}; ///< Start of the interval of its limits.
+  int m_storeReads = 0;        ///< In the interval.
+  int m_storeWrites = 0;       ///< In the interval.
+  int m_limitedCalls = 0;
+  int m_overruns = 0;
 };
 
 } // namespace sapphirelane
