Keep the load on seeds constant when a whole fleet restarts

Cause: daemons that start together know only the seeds. All sent their heartbeats to all seeds each 0.5 s, asked them for the view in the first tick and for retry budgets every 100 ms, and used them as relays to their data centres. The seeds' processors were busy for seconds; their own answers from the store waited behind the datagrams.

Ruled out: the store (no call refused by its limits at 30 to 770 daemons, with 500 rows an answer), and the size of its answers on links of 10 Mbit/s.

Change: SeedSchedule bounds the heartbeats to seeds; heartbeats carry whether their data centre gossips, and one with more than 40 known members gossips from the start, in place of 3 s of heartbeats to all; a reply to a heartbeat is not answered by another one; answers name random members, which count as live for 0.8 s; the first fetch of the view waits for the store; requests for retry budgets back off. PresenceNews has two new fields.

--- a/include/sapphirelane/relay/peer_book.h
+++ b/include/sapphirelane/relay/peer_book.h
@@ -61,21 +61,21 @@
     const std::vector<std::uint32_t>& aHashes,
     std::size_t aMost) const;
 
-  /// @brief Live daemons on some hosts, and then live daemons of a data centre,
-  /// up to a number.
+  /// @brief Live daemons on some hosts.
   std::vector<MemberInfo> Members(const std::vector<std::uint32_t>& aHashes,
-                                  const std::string& aCentre,
-                                  std::size_t aMost,
                                   TimePoint aNow) const;
 
+  /// @brief Picks up to aCount live daemons of a data centre at random.
+  std::vector<MemberInfo> MembersOf(const std::string& aCentre,
+                                    std::size_t aCount,
+                                    TimePoint aNow,
+                                    Random& aRandom) const;
+
   /// @brief Picks up to aCount live daemons of each data centre at random.
   std::vector<MemberInfo> MembersOfEach(std::size_t aCount,
                                         TimePoint aNow,
                                         Random& aRandom) const;
 
-  /// @brief Adds a configured address at which a daemon may be reachable.
-  void OnSeed(const std::string& aAddress);
-
   /// @brief Applies a daemon's heartbeat.
   /// @return True if the daemon, or this run of it, was not known to be live.
   bool OnPresence(const PresenceNews& aNews, TimePoint aNow);
@@ -122,21 +122,23 @@
                                     TimePoint aNow,
                                     Random& aRandom) const;
 
-  /// @brief Addresses to send this daemon's heartbeat to: seeds, all daemons of
-  /// this data centre and some of each other one.
+  /// @brief Addresses to send this daemon's heartbeat to: all daemons of this
+  /// data centre and some of each other one.
   /// @param aPerCentre Number of daemons of each other data centre.
   std::vector<std::string> PresenceTargets(std::size_t aPerCentre,
                                            Random& aRandom) const;
 
   /// @brief Addresses to send this daemon's heartbeat to in a large data
-  /// centre: a few live daemons of it, one of each other one, and one address
-  /// at which no daemon is known to be live, which may be back.
+  /// centre: a few daemons of it, live ones if enough are known, one live
+  /// daemon of each other one, and one address at which no daemon is known to
+  /// be live, which may be back.
   std::vector<std::string> GossipTargets(std::size_t aNeighbours,
                                          TimePoint aNow,
                                          Random& aRandom) const;
 
-  /// @brief Whether this data centre has more live daemons than
-  /// PeerTableOptions::full_mesh.
+  /// @brief Whether this data centre has more members than
+  /// PeerTableOptions::full_mesh. Members that were not heard yet count: a
+  /// daemon that starts with hundreds of others learns their addresses first.
   bool Gossips(TimePoint aNow) const;
 
   /// @brief Fills in the live hosts of this data centre, own included.
@@ -187,6 +189,7 @@
     TimePoint
       unplanned_start{}; ///< Start of its run if it had not announced to leave.
     bool leaving = false;
+    bool heard = false;    ///< Its own heartbeat has been received.
     bool gossiped = false; ///< Its data centre is a large one.
   };
 
@@ -203,7 +206,6 @@
   std::map<std::string, Peer> m_peers;        ///< By host.
   std::map<NodeId, std::string> m_hostByNode; ///< By run of a daemon.
   std::unordered_map<std::uint32_t, Peer*> m_peerByHash; ///< By host's hash.
-  std::vector<std::string> m_seeds;
 };
 
 /// @brief 32-bit hash of an id, the same on all daemons.
--- a/include/sapphirelane/wire/messages.h
+++ b/include/sapphirelane/wire/messages.h
@@ -397,6 +397,9 @@
     0;                         ///< Wall clock; the newest run of a host counts.
   std::uint32_t uptime_ms = 0; ///< Since then, by the steady clock.
   bool leaving = false;
+  /// Its data centre is a large one, in which signs of life are passed on.
+  bool gossips = false;
+  bool replies = false; ///< Replies to a heartbeat, and needs no reply.
   /// Hashes of the hosts of its data centre that are live, sorted.
   std::vector<std::uint32_t> neighbours;
   /// Time since the last sign of life of each, in tenths of a second.
@@ -405,7 +408,8 @@
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(self, started_ms, uptime_ms, leaving, neighbours, ages);
+    aArchive(
+      self, started_ms, uptime_ms, leaving, gossips, replies, neighbours, ages);
   }
 };
 
--- a/src/sapphirelane/relay/discovery.cpp
+++ b/src/sapphirelane/relay/discovery.cpp
@@ -39,6 +39,10 @@
 /// Daemons of each data centre that an answer names besides those asked for.
 constexpr std::size_t kMembersOfEach = 2;
 
+/// Daemons of the asker's data centre that an answer names. They differ each
+/// time, so that daemons that start together do not all contact the same ones.
+constexpr std::size_t kNamedNeighbours = 16;
+
 } // namespace
 
 Discovery::Discovery(MemberInfo aSelf,
@@ -164,8 +168,11 @@
                  TimePoint aNow)
 {
   MembersNews answer;
-  answer.members =
-    m_peers.Members(aAsk.hosts, aAsk.data_centre, kMaxAskedHosts, aNow);
+  answer.members = m_peers.Members(aAsk.hosts, aNow);
+  const auto neighbours =
+    m_peers.MembersOf(aAsk.data_centre, kNamedNeighbours, aNow, m_random);
+  answer.members.insert(
+    answer.members.end(), neighbours.begin(), neighbours.end());
   // A daemon that learns of a few in each data centre finds the rest there.
   const auto others = m_peers.MembersOfEach(kMembersOfEach, aNow, m_random);
   answer.members.insert(answer.members.end(), others.begin(), others.end());
--- a/src/sapphirelane/relay/peer_book.cpp
+++ b/src/sapphirelane/relay/peer_book.cpp
@@ -58,7 +58,11 @@
     return;
   }
   OnListed({ aMember.host, aMember.data_centre, aMember.address }, aNow);
-  m_peers[aMember.host].info = aMember;
+  Peer& peer = m_peers[aMember.host];
+  peer.info = aMember;
+  // Counts as live for a short time without a heartbeat of its own. A daemon
+  // that has just started otherwise knows only seeds, and sends all to them.
+  peer.last_seen = aNow - m_options.live_for / 2;
   m_hostByNode[aMember.id] = aMember.host;
 }
 
@@ -78,30 +82,41 @@
 
 std::vector<MemberInfo>
 PeerBook::Members(const std::vector<std::uint32_t>& aHashes,
-                  const std::string& aCentre,
-                  std::size_t aMost,
                   TimePoint aNow) const
 {
   std::vector<MemberInfo> members;
-  const auto add = [&](const Peer& aPeer) {
-    // The run of a daemon that was only listed is not known.
-    const bool complete = aPeer.info.id != 0 && IsLive(aPeer, aNow);
-    if (complete && members.size() < aMost) {
-      members.push_back(aPeer.info);
-    }
-  };
   for (std::uint32_t hash : aHashes) {
     auto found = m_peerByHash.find(hash);
-    if (found != m_peerByHash.end()) {
-      add(*found->second);
+    if (found == m_peerByHash.end()) {
+      continue;
+    }
+    // The run of a daemon that was only listed is not known.
+    const Peer& peer = *found->second;
+    if (peer.info.id != 0 && IsLive(peer, aNow)) {
+      members.push_back(peer.info);
     }
   }
+  return members;
+}
+
+std::vector<MemberInfo>
+PeerBook::MembersOf(const std::string& aCentre,
+                    std::size_t aCount,
+                    TimePoint aNow,
+                    Random& aRandom) const
+{
+  std::vector<MemberInfo> live;
   for (const auto& entry : m_peers) {
-    if (!aCentre.empty() && entry.second.info.data_centre == aCentre) {
-      add(entry.second);
+    const Peer& peer = entry.second;
+    if (peer.info.data_centre == aCentre && peer.info.id != 0 &&
+        IsLive(peer, aNow)) {
+      live.push_back(peer.info);
     }
   }
-  return members;
+  std::vector<MemberInfo> chosen;
+  std::sample(
+    live.begin(), live.end(), std::back_inserter(chosen), aCount, aRandom);
+  return chosen;
 }
 
 std::vector<MemberInfo>
@@ -127,14 +142,6 @@
   return chosen;
 }
 
-void
-PeerBook::OnSeed(const std::string& aAddress)
-{
-  if (aAddress != m_self.address) {
-    m_seeds.push_back(aAddress);
-  }
-}
-
 bool
 PeerBook::OnPresence(const PresenceNews& aNews, TimePoint aNow)
 {
@@ -150,7 +157,9 @@
   if (aNews.started_ms < peer.started_ms && knownRunIsLive) {
     return false;
   }
-  const bool isNew = !IsLive(peer, aNow) || peer.info.id != aNews.self.id;
+  const bool isNew =
+    !peer.heard || !IsLive(peer, aNow) || peer.info.id != aNews.self.id;
+  peer.heard = true;
   if (peer.info.id != aNews.self.id) {
     const bool announced = peer.leaving;
     peer.unplanned_start =
@@ -165,7 +174,7 @@
   peer.last_seen = aNow;
   m_hostByNode[peer.info.id] = peer.info.host;
   m_peerByHash[peer.hash] = &peer;
-  peer.gossiped = aNews.neighbours.size() > m_options.full_mesh;
+  peer.gossiped = aNews.gossips;
   ApplyList(aNews, aNow);
   return isNew;
 }
@@ -176,8 +185,7 @@
 PeerBook::ApplyList(const PresenceNews& aNews, TimePoint aNow)
 {
   const bool local = aNews.self.data_centre == m_self.data_centre;
-  const bool gossiped = aNews.neighbours.size() > m_options.full_mesh;
-  if (local && !gossiped) {
+  if (local && !aNews.gossips) {
     return;
   }
   const std::uint32_t centre = ShortHash(aNews.self.data_centre);
@@ -190,7 +198,7 @@
     Peer& peer = *found->second;
     peer.last_seen =
       std::max(peer.last_seen, aNow - aNews.ages[i] * kPresenceAgeUnit);
-    peer.gossiped = gossiped;
+    peer.gossiped = aNews.gossips;
   }
 }
 
@@ -337,7 +345,7 @@
 std::vector<std::string>
 PeerBook::PresenceTargets(std::size_t aPerCentre, Random& aRandom) const
 {
-  std::vector<std::string> targets = m_seeds;
+  std::vector<std::string> targets;
   std::map<std::string, std::vector<std::string>> remote;
   for (const auto& entry : m_peers) {
     const MemberInfo& info = entry.second.info;
@@ -365,11 +373,15 @@
                         Random& aRandom) const
 {
   std::vector<std::string> live;
-  std::vector<std::string> others = m_seeds;
+  std::vector<std::string> silent; // Of this data centre.
+  std::vector<std::string> others;
   for (const auto& entry : m_peers) {
     const Peer& peer = entry.second;
     if (!IsLive(peer, aNow)) {
       others.push_back(peer.info.address);
+      if (peer.local) {
+        silent.push_back(peer.info.address);
+      }
     } else if (peer.local) {
       live.push_back(peer.info.address);
     }
@@ -380,6 +392,11 @@
               std::back_inserter(targets),
               aNeighbours,
               aRandom);
+  std::sample(silent.begin(),
+              silent.end(),
+              std::back_inserter(targets),
+              aNeighbours - std::min(aNeighbours, live.size()),
+              aRandom);
   std::sample(
     others.begin(), others.end(), std::back_inserter(targets), 1, aRandom);
   return targets;
@@ -388,16 +405,17 @@
 bool
 PeerBook::Gossips(TimePoint aNow) const
 {
-  std::size_t live = 1;
+  std::size_t members = 1;
   for (const auto& entry : m_peers) {
-    live += entry.second.local && IsLive(entry.second, aNow) ? 1 : 0;
+    members += entry.second.local && IsMember(entry.second, aNow) ? 1 : 0;
   }
-  return live > m_options.full_mesh;
+  return members > m_options.full_mesh;
 }
 
 void
 PeerBook::ListNeighbours(PresenceNews& aPresence, TimePoint aNow) const
 {
+  aPresence.gossips = Gossips(aNow);
   constexpr std::int64_t kMaxAge = std::numeric_limits<std::uint8_t>::max();
   std::map<std::uint32_t, std::uint8_t> ages = { { m_selfHash, 0 } };
   for (const auto& entry : m_peers) {
--- a/src/sapphirelane/relay/retry_handover.cpp
+++ b/src/sapphirelane/relay/retry_handover.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-/// Intervals of requests while the window is not known, soon after the start
-/// and later, and once it is known.
+/// Intervals of requests while the window is not known, at first and at most,
+/// and once it is known. The interval doubles: when all daemons have started,
+/// nobody can answer, and each request is a connection.
 constexpr Milliseconds kUrgentInterval{ 100 };
 constexpr Milliseconds kInterval{ 1000 };
-constexpr Milliseconds kUrgentTime{ 2000 };
 
 /// Uptime from which all daemons send their reports to this one.
 constexpr Milliseconds kIntroductionTime{ 4000 };
@@ -39,6 +39,7 @@
   , m_peers(aPeers)
   , m_retries(aRetries)
   , m_random(aRandom)
+  , m_interval(kUrgentInterval)
   , m_lastCall(kFirstCall)
 {
 }
@@ -77,8 +78,8 @@
   if (done || aNow < m_nextRequest || m_pending.size() >= kMaxPending) {
     return;
   }
-  m_nextRequest =
-    aNow + (!known && uptime < kUrgentTime ? kUrgentInterval : kInterval);
+  m_nextRequest = aNow + (known ? kInterval : m_interval);
+  m_interval = std::min<Duration>(kInterval, 2 * m_interval);
   for (const std::string& address : PickPeers(aNow)) {
     BulkCall call;
     call.id = ++m_lastCall;
--- a/src/sapphirelane/relay/retry_handover.h
+++ b/src/sapphirelane/relay/retry_handover.h
@@ -53,6 +53,7 @@
   Random& m_random;
   TimePoint m_startedAt{};
   TimePoint m_nextRequest{};
+  Duration m_interval; ///< Until the request after the next one.
   std::uint64_t m_lastCall;
   std::map<std::uint64_t, std::string> m_pending; ///< Addresses by call.
 };
--- a/src/sapphirelane/relay/store_fleet.cpp
+++ b/src/sapphirelane/relay/store_fleet.cpp
@@ -10,6 +10,7 @@
 #include "sapphirelane/relay/discovery.h"
 #include "sapphirelane/relay/load_exchange.h"
 #include "sapphirelane/relay/retry_handover.h"
+#include "sapphirelane/relay/seed_schedule.h"
 #include "sapphirelane/relay/spreader.h"
 #include "sapphirelane/relay/view_keeper.h"
 
@@ -33,9 +34,8 @@
 constexpr std::size_t kPresenceTargetsPerRemoteCentre = 2;
 
 /// Daemons of its own data centre that each presence update is sent to in a
-/// large one, and the uptime until which it is sent to all of them.
+/// large one.
 constexpr std::size_t kGossipTargets = 5;
-constexpr Milliseconds kDirectPresenceTime{ 3000 };
 
 /// Time after which all daemons know what one of them has reported, or notice
 /// that they hear nothing; longer in a large fleet, where reports are added up
@@ -66,6 +66,7 @@
     , m_env(aEnv)
     , m_random(m_options.seed)
     , m_peers(m_options.peers, m_options.self)
+    , m_seeds(OtherAddresses(m_options.seeds, m_options.self.address))
     , m_quota(m_options.quota)
     , m_retries(m_options.extras)
     , m_sender(m_env, m_peers, m_random)
@@ -91,9 +92,6 @@
                       m_random)
     , m_view(m_replica.View())
   {
-    for (const std::string& seed : m_options.seeds) {
-      m_peers.OnSeed(seed);
-    }
   }
 
   // FleetControl.
@@ -259,6 +257,7 @@
       const std::size_t counted = m_peers.Counted(aNow);
       UpdateMembership(live, counted, aNow);
     }
+    SendToSeed(aNow);
     m_load.Tick(aNow);
   }
 
@@ -399,11 +398,31 @@
     return update;
   }
 
+  static std::vector<std::string> OtherAddresses(
+    std::vector<std::string> aAddresses,
+    const std::string& aOwn)
+  {
+    aAddresses.erase(std::remove(aAddresses.begin(), aAddresses.end(), aOwn),
+                     aAddresses.end());
+    return aAddresses;
+  }
+
+  void SendToSeed(TimePoint aNow)
+  {
+    if (!m_seeds.IsDue(aNow)) {
+      return;
+    }
+    const std::string seed =
+      m_seeds.PickSeed(m_peers.Live(aNow), aNow, m_random);
+    if (!seed.empty()) {
+      m_env.Send({ seed }, Presence(aNow));
+    }
+  }
+
   void SendPresence(TimePoint aNow)
   {
-    // A new run, and one that leaves, tell all daemons directly.
-    const bool gossips = !m_leaving && m_peers.Gossips(aNow) &&
-                         m_replica.Uptime(aNow) > kDirectPresenceTime;
+    // A daemon that leaves tells all daemons directly.
+    const bool gossips = !m_leaving && m_peers.Gossips(aNow);
     m_env.Send(gossips ? m_peers.GossipTargets(kGossipTargets, aNow, m_random)
                        : m_peers.PresenceTargets(
                            kPresenceTargetsPerRemoteCentre, m_random),
@@ -427,7 +446,11 @@
                 .Add("host", aUpdate.self.host)
                 .Add("data_centre", aUpdate.self.data_centre)
                 .Add("leaving", aUpdate.leaving ? "yes" : "no"));
-      m_env.Send({ aAddress }, Presence(aNow));
+    }
+    if (isNew && !aUpdate.replies) {
+      PresenceNews reply = Presence(aNow);
+      reply.replies = true;
+      m_env.Send({ aAddress }, reply);
     }
   }
 
@@ -557,6 +580,7 @@
   StoreFleetEnv& m_env;
   Random m_random;
   PeerBook m_peers;
+  SeedSchedule m_seeds;
   QuotaLedger m_quota;
   ExtraBudget m_retries;
   UpdateSender m_sender;
--- a/src/sapphirelane/relay/view_keeper.cpp
+++ b/src/sapphirelane/relay/view_keeper.cpp
@@ -22,6 +22,12 @@
 constexpr Milliseconds kMaxAgeBeforePeerFetch{ 1300 };
 constexpr Milliseconds kPeerFetchInterval{ 1000 };
 
+/// Uptime from which a daemon without a view asks a peer, and the random part
+/// added to it. The store normally answers before, and a daemon that asks at
+/// its start knows only the seeds.
+constexpr Milliseconds kFirstPeerFetch{ 300 };
+constexpr int kFirstPeerFetchJitterMs = 300;
+
 /// Delay before a daemon itself reads a new configuration that was reported by
 /// a daemon of its data centre, so that it can arrive from there first, and the
 /// random part added to it.
@@ -160,7 +166,11 @@
 void
 ViewReplica::Tick(TimePoint aNow)
 {
-  m_startedAt = m_startedAt == TimePoint{} ? aNow : m_startedAt;
+  if (m_startedAt == TimePoint{}) {
+    m_startedAt = aNow;
+    std::uniform_int_distribution<int> jitterMs(0, kFirstPeerFetchJitterMs);
+    m_nextPeerFetch = aNow + kFirstPeerFetch + Milliseconds(jitterMs(m_random));
+  }
   m_view.Tick(aNow);
   m_delays.Tick(aNow);
   ReadStore(aNow);
