Let a fleet send retries at half of the budget's rate after all are killed

Cause: a daemon that starts sent no retry until it knew the whole window, from another daemon or after 10 s. When all daemons are killed at once nobody is left who knows it. The new test "all daemons are killed at once" had 0 retries in 4 s after one kill and after the second of two.

Ruled out: a reserve (spent by a second kill within a window) and a row in the store (docs/design/retry-budget.md).

Change: RetryAllowance, a pure class. For each moment s of the known past the retries since s stay within half of the budget plus half of what the time and requests since s add to it; at the start of the known past the first half counts as spent. The slack counts only once the number of daemons has settled. Log lines [retry] say what is left and why a retry is refused, at most once a second.

--- a/include/sapphirelane/relay/extra_budget.h
+++ b/include/sapphirelane/relay/extra_budget.h
@@ -30,7 +30,8 @@
 ///
 /// Limits retries and hedged requests to a share of the first attempts, counted
 /// over all daemons, so that retries cannot multiply an overload. A daemon that
-/// does not know the whole window spends nothing, as others may have spent all.
+/// does not know the whole window spends at half of the budget's rate, see
+/// RetryAllowance, as others may have spent the other half.
 ///
 /// Load pattern: many requests fail at one moment, and all daemons decide
 /// before they know what the others have just spent. In the time that a report
@@ -95,6 +96,12 @@
   };
 
   RetryWindow& WindowOf(std::uint32_t aService);
+  bool IsFleetKnown(TimePoint aNow);
+  void LogRefusal(const std::string& aService,
+                  const RetryDecision& aDecision,
+                  double aLeft,
+                  bool aFleetKnown,
+                  TimePoint aNow);
   Unreported& UnreportedOf(std::uint32_t aService,
                            TimePoint aNow,
                            Random& aRandom);
@@ -105,6 +112,9 @@
   Duration m_reportTime{ 0 };
   TimePoint m_reportedUntil = TimePoint::max();
   TimePoint m_knownSince = TimePoint::min();
+  double m_seenDaemons = 0; ///< When the fleet last changed.
+  TimePoint m_fleetChangedAt{};
+  TimePoint m_nextRefusalLine{};
   std::map<std::uint32_t, RetryWindow> m_windows; ///< By hash of the service.
   std::map<std::uint32_t, Unreported> m_unreported;
 };
--- a/include/sapphirelane/relay/retry_window.h
+++ b/include/sapphirelane/relay/retry_window.h
@@ -9,6 +9,14 @@
 
 namespace sapphirelane {
 
+/// @brief Requests and retries since a moment.
+struct RetryCounts
+{
+  TimePoint since{};
+  double requests = 0;
+  double retries = 0;
+};
+
 /// @brief Requests and retries of one service over a sliding window.
 ///
 /// Two daemons' windows can be merged: for each age, a window is raised to the
@@ -29,6 +37,10 @@
   /// @brief Retries in the window.
   double Retries(TimePoint aNow);
 
+  /// @brief What has been counted since the start of each interval, newest
+  /// first.
+  std::vector<RetryCounts> CountsSince() const;
+
   /// @brief What the window holds, oldest first.
   std::vector<WindowPart> Parts(TimePoint aNow);
 
--- a/src/sapphirelane/relay/extra_budget.cpp
+++ b/src/sapphirelane/relay/extra_budget.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphirelane/base/log.h"
 #include "sapphirelane/relay/peer_book.h"
+#include "sapphirelane/relay/retry_allowance.h"
 
 namespace sapphirelane {
 
@@ -12,6 +14,14 @@
 /// Services in a snapshot, and those that are taken over from one.
 constexpr std::size_t kMaxServices = 256;
 
+/// Time without a new daemon after which a daemon that has started takes the
+/// number of daemons for known. Those that start with it find each other
+/// through heartbeats, which are sent more often than this.
+constexpr Milliseconds kFleetSettled{ 600 };
+
+/// Smallest interval of log lines on refused retries.
+constexpr Milliseconds kRefusalLineInterval{ 1000 };
+
 } // namespace
 
 ExtraBudget::ExtraBudget(ExtraBudgetOptions aOptions)
@@ -36,6 +46,7 @@
 void
 ExtraBudget::NoteRequest(const std::string& aService, TimePoint aNow)
 {
+  IsFleetKnown(aNow);
   WindowOf(ShortHash(aService)).Add(1, 0, aNow);
 }
 
@@ -57,6 +68,47 @@
   m_reportTime = aReportTime;
 }
 
+/// Whether the number of daemons is known that share the slack. A daemon that
+/// knows no other one may have started just now among hundreds.
+bool
+ExtraBudget::IsFleetKnown(TimePoint aNow)
+{
+  if (m_daemons != m_seenDaemons) {
+    m_seenDaemons = m_daemons;
+    m_fleetChangedAt = aNow;
+  }
+  return m_daemons > 1 && aNow - m_fleetChangedAt >= kFleetSettled;
+}
+
+void
+ExtraBudget::LogRefusal(const std::string& aService,
+                        const RetryDecision& aDecision,
+                        double aLeft,
+                        bool aFleetKnown,
+                        TimePoint aNow)
+{
+  if (aNow < m_nextRefusalLine) {
+    return;
+  }
+  m_nextRefusalLine = aNow + kRefusalLineInterval;
+  LogLine(
+    "retry",
+    aDecision.known < m_options.window
+      ? "A retry is refused: the window is known in part, and half of "
+        "the budget's rate is usable."
+      : "A retry is refused: the budget's burst, or this daemon's part of "
+        "what is left, is spent.",
+    LogFields()
+      .Add("service", aService)
+      .Add("left", aLeft)
+      .Add("spent", aDecision.spent)
+      .Add("budget", aDecision.budget)
+      .Add("daemons", m_daemons)
+      .Add("daemons_known", aFleetKnown)
+      .Add("fleet_share", m_fleetShare)
+      .Add("known_ms", aDecision.known));
+}
+
 ExtraBudget::Unreported&
 ExtraBudget::UnreportedOf(std::uint32_t aService,
                           TimePoint aNow,
@@ -88,13 +140,19 @@
     m_options.margin;
   Unreported& unreported = UnreportedOf(service, aNow, aRandom);
   const auto own = static_cast<double>(unreported.spent.size());
-  const double left = decision.budget - (decision.spent - own);
-  const bool withinPart = own + 1 <= left / m_daemons + unreported.rounding;
-  decision.allowed =
-    IsKnown(aNow) && withinPart && decision.spent + 1 <= decision.budget;
+  const double part = m_fleetShare * m_options.margin;
+  const RetryAllowance allowance(
+    m_options.share * part, m_options.slack * part, m_options.window);
+  const bool fleetKnown = IsFleetKnown(aNow);
+  const double left = allowance.Left(window, m_knownSince, fleetKnown, aNow);
+  const bool withinPart =
+    own + 1 <= (left + own) / m_daemons + unreported.rounding;
+  decision.allowed = withinPart && left >= 1;
   if (decision.allowed) {
     window.Add(0, 1, aNow);
     unreported.spent.push_back(aNow);
+  } else {
+    LogRefusal(aService, decision, left, fleetKnown, aNow);
   }
   return decision;
 }
--- a/src/sapphirelane/relay/retry_budget_test.cpp
+++ b/src/sapphirelane/relay/retry_budget_test.cpp
@@ -109,6 +109,8 @@
     }
   }
 
+  TimePoint Now() const { return m_world.Now(); }
+
   /// Highest share of the allowed retries that was sent in a window. The
   /// requests are those of the window, of the one before it or of the one half
   /// a window before it.
@@ -286,6 +288,37 @@
   CHECK(WorstShareOf(service, "all 40 restart") <= 1);
 }
 
+/// Guards against a fleet that sends no retries for a window after all of its
+/// daemons were killed, as nobody is left who knows what was spent.
+TEST_CASE("RetryBudget, all daemons are killed at once, also twice within a "
+          "window, a part of the budget is usable and the budget kept",
+          "[large][retries][restarts]")
+{
+  for (const int kills : { 1, 2 }) {
+    const FailingServiceOptions options = OptionsOf(40, 60, 41);
+    FailingService service(options);
+    service.Run(std::chrono::seconds(4));
+    for (int i = 0; i < kills; ++i) {
+      service.RestartFrom(0, 40, Milliseconds(500));
+      const TimePoint start = service.Now();
+      service.Run(std::chrono::seconds(4));
+      const double rate =
+        (kRatio * options.load * ToSeconds(kWindow) + options.slack) / 2 /
+        ToSeconds(kWindow);
+      const int retries = service.RetriesSince(start);
+      if (std::getenv("FLEET_PRINT") != nullptr) {
+        std::cout << "kill " << i + 1 << " of " << kills << ": " << retries
+                  << " retries in 4 s, half of the rate is " << 4 * rate
+                  << '\n';
+      }
+      // The equal shares of what is left are used up with a delay.
+      CHECK(retries >= 4 * rate * 0.25);
+    }
+    service.Run(std::chrono::seconds(12));
+    CHECK(WorstShareOf(service, "all 40 killed") <= 1);
+  }
+}
+
 TEST_CASE("RetryBudget, daemons freeze and wake while attempts fail, fleet "
           "keeps the budget",
           "[large][retries][restarts]")
--- a/src/sapphirelane/relay/retry_window.cpp
+++ b/src/sapphirelane/relay/retry_window.cpp
@@ -64,6 +64,20 @@
   return SumSince(TimePoint::min()).retries;
 }
 
+std::vector<RetryCounts>
+RetryWindow::CountsSince() const
+{
+  std::vector<RetryCounts> all;
+  RetryCounts sum;
+  for (auto it = m_intervals.rbegin(); it != m_intervals.rend(); ++it) {
+    sum.since = it->start;
+    sum.requests += it->requests;
+    sum.retries += it->retries;
+    all.push_back(sum);
+  }
+  return all;
+}
+
 std::vector<WindowPart>
 RetryWindow::Parts(TimePoint aNow)
 {
