Test the retry budget of 110 daemons that are all killed twice within a window

Guards against daemons of a large fleet that each take the slack for their own before they have found the others.

--- a/src/sapphirelane/relay/retry_budget_test.cpp
+++ b/src/sapphirelane/relay/retry_budget_test.cpp
@@ -319,6 +319,21 @@
   }
 }
 
+TEST_CASE("RetryBudget, all daemons of a large fleet are killed twice within a "
+          "window, keep the budget",
+          "[large][retries][cut]")
+{
+  FailingService service(OptionsOf(110, 172, 164));
+  service.Run(std::chrono::seconds(4));
+  service.RestartFrom(0, 110, Milliseconds(500));
+  service.Run(std::chrono::seconds(4));
+  service.RestartFrom(0, 110, Milliseconds(500));
+  const TimePoint start = service.Now();
+  service.Run(std::chrono::seconds(12));
+  CHECK(service.RetriesSince(start) > 0);
+  CHECK(WorstShareOf(service, "all 110 killed twice") <= 1);
+}
+
 TEST_CASE("RetryBudget, daemons freeze and wake while attempts fail, fleet "
           "keeps the budget",
           "[large][retries][restarts]")
