Fit the reserve of urgent retries and cold times to the merged parts

Cause: after the merge of the retry budget, the reserve for more urgent requests was taken off the burst, which is half of the budget, so that a reserve of a half left nothing. After an evacuation endpoints counted as just started, so that they were cold for their whole cold start whatever their entries said.

Change: the reserve scales the whole allowance. Only a new or restarted endpoint counts as just started.

--- a/src/sapphirelane/proxy/service_state.cpp
+++ b/src/sapphirelane/proxy/service_state.cpp
@@ -135,7 +135,7 @@
     if (restarted) {
       m_coldStarts.Reset(id);
     }
-    LoadColdTime(state, service, m_loaded && newlyCold, aNow);
+    LoadColdTime(state, service, m_loaded && (isNew || restarted), aNow);
     state.heard = !m_hearsWorkOf || m_hearsWorkOf(id);
     if (!state.heard) {
       state.others_in_flight = 0;
--- a/src/sapphirelane/relay/extra_budget.cpp
+++ b/src/sapphirelane/relay/extra_budget.cpp
@@ -143,12 +143,11 @@
     m_options.margin;
   Unreported& unreported = UnreportedOf(service, aNow, aRandom);
   const auto own = static_cast<double>(unreported.spent.size());
-  const double part = m_fleetShare * m_options.margin;
+  const double part = m_fleetShare * m_options.margin * (1 - aReserve);
   const RetryAllowance allowance(
     m_options.share * part, m_options.slack * part, m_options.window);
   const bool fleetKnown = IsFleetKnown(aNow);
-  const double left = allowance.Left(window, m_knownSince, fleetKnown, aNow) -
-                      decision.budget * aReserve;
+  const double left = allowance.Left(window, m_knownSince, fleetKnown, aNow);
   const bool withinPart =
     own + 1 <= (left + own) / m_daemons + unreported.rounding;
   decision.allowed = withinPart && left >= 1;
