--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -11,6 +11,7 @@
 import random
 import re
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -531,21 +532,25 @@
             if daemon.child is not None:
                 daemon.child.wait()
         self.record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run(case, world):
-    """Plays a case and ends the process with its verdict."""
+    """Plays a case and ends the process with its verdict. An error of the script
+    or a signal that ends it early is no verdict."""
     async def play():
         # Connections that are open at the end are of no interest.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await case(world)
         finally:
             world.close()
     try:
         verdict = asyncio.run(play())
-    except (CannotRun, OSError) as error:
-        print(f"the case could not run: {error}")
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
+        print(f"the case could not run: {error!r}")
         sys.exit(COULD_NOT_RUN)
     print({HELD: "the rule held", BROKEN: "the rule was broken"}[verdict])
     sys.exit(verdict)
