Wait for a write's result before the end of the stream ends an answer

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the caller got that part as a complete answer.

Cause: such an answer ends with its connection, and an end of the stream is proper only if the connection was not reset. A write that meets the reset consumes the socket's error, after which a read sees an end of the stream. OnReadError asked whether a write had failed, but not whether one was under way, and the read's handler may run before the write's.

Ruled out: a length or chunks, which tell by themselves where the answer ends; requests that are written whole, where the read gets the reset itself.

Change: at the end of the stream a write that is under way is cancelled, and its result is awaited: a failure means a reset, anything else a proper end. Writes are single ones, so that no later part of a write is started in between. An answer that ends properly while its upload is written stays whole, as do early answers with a length or in chunks; each has a test that held before as well.

The soak's links reset connections now where they were only closed, which would have ended such an answer properly.

--- a/src/sapphirelane/proxy/loopback.h
+++ b/src/sapphirelane/proxy/loopback.h
@@ -61,6 +61,17 @@
     return result;
   }
 
+  /// @brief Ends the stream of bytes to the other side, which may write on.
+  void EndSending() const { shutdown(m_socket.Get(), SHUT_WR); }
+
+  /// @brief Resets the connection.
+  void Reset()
+  {
+    const linger discard{ 1, 0 };
+    setsockopt(m_socket.Get(), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    m_socket = Socket();
+  }
+
   /// @return Whether the other side has closed its sending side by now.
   bool IsClosed() const
   {
--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -817,6 +817,119 @@
   CHECK_FALSE(end.kept);
 }
 
+/// Endpoints that answer an upload without a length before they have all of it.
+class EarlyAnswerFixture : public SlowUploadFixture
+{
+protected:
+  /// Starts an upload whose answer begins before the last part of the body has
+  /// arrived.
+  RawConnection StartAnsweredUpload()
+  {
+    RawConnection endpoint = StartUpload("first");
+    endpoint.Write("HTTP/1.1 200 OK\r\n\r\nthe answer");
+    CHECK(NextEvent().head.status == 200);
+    m_exchange->Answer({ 200, {}, std::nullopt });
+    m_io->Accept(1);
+    return endpoint;
+  }
+
+  /// Starts an upload that nobody reads, so that it fills the socket buffers.
+  RawConnection StartUnreadUpload(const std::string& aAnswer)
+  {
+    const std::string body(8U << 20U, 'x');
+    m_exchange = std::make_shared<Exchange>(RequestHead{}, body.size());
+    m_exchange->SetPort(std::make_unique<NullCallerPort>());
+    m_exchange->CallerWrite(body.data(), body.size());
+    m_exchange->CallerFinish();
+    AttemptOrder params = MakeUpload(1);
+    params.exchange = m_exchange;
+    params.length = body.size();
+    m_io->Start(params);
+    RawConnection endpoint = m_listener.Accept();
+    endpoint.Write(aAnswer);
+    return endpoint;
+  }
+};
+
+/// Guards against a part of an answer that is taken for a whole one. The write
+/// that meets the reset is still under way when the read sees the end.
+TEST_CASE_METHOD(EarlyAnswerFixture,
+                 "UpstreamClient, answer without a length is reset before the "
+                 "write that meets it has ended, is not complete",
+                 "[early]")
+{
+  RawConnection endpoint = StartAnsweredUpload();
+  HoldClient();
+  endpoint.Reset();
+  ArriveLast("last");
+  ReleaseClient();
+  const AttemptEvent end = NextEvent();
+  CHECK_FALSE(end.whole);
+  CHECK_FALSE(end.kept);
+  CHECK(end.sent);
+  CHECK(end.error == "the connection ended before the answer did");
+  std::size_t read = 0;
+  char bytes[64];
+  StreamResult result = StreamResult::Some;
+  while (result == StreamResult::Some || result == StreamResult::Wait) {
+    result = m_exchange->CallerRead(bytes, sizeof bytes, read);
+  }
+  CHECK(result == StreamResult::Broken);
+}
+
+TEST_CASE_METHOD(EarlyAnswerFixture,
+                 "UpstreamClient, answer without a length ends while the "
+                 "upload goes on, is complete",
+                 "[early]")
+{
+  RawConnection endpoint = StartAnsweredUpload();
+  HoldClient();
+  endpoint.EndSending();
+  ArriveLast("last");
+  ReleaseClient();
+  const AttemptEvent end = NextEvent();
+  CHECK(end.whole);
+  CHECK_FALSE(end.kept);
+  CHECK(ReadResponseBody() == "the answer");
+}
+
+TEST_CASE_METHOD(EarlyAnswerFixture,
+                 "UpstreamClient, answer without a length ends while a write "
+                 "waits for the endpoint, is complete",
+                 "[early]")
+{
+  RawConnection endpoint =
+    StartUnreadUpload("HTTP/1.1 200 OK\r\n\r\nthe answer");
+  CHECK(NextEvent().head.status == 200);
+  m_io->Accept(1);
+  endpoint.EndSending();
+  const AttemptEvent end = NextEvent();
+  CHECK(end.whole);
+  CHECK_FALSE(end.kept);
+  CHECK(ReadResponseBody() == "the answer");
+}
+
+TEST_CASE_METHOD(EarlyAnswerFixture,
+                 "UpstreamClient, whole answer comes before the upload is "
+                 "read and the connection is reset, is complete",
+                 "[early]")
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& answer :
+       { status + "Content-Length: 10\r\n\r\nthe answer",
+         status + "Transfer-Encoding: chunked\r\n\r\n"
+                  "a\r\nthe answer\r\n0\r\n\r\n" }) {
+    RawConnection endpoint = StartUnreadUpload(answer);
+    CHECK(NextEvent().head.status == 200);
+    m_io->Accept(1);
+    const AttemptEvent end = NextEvent();
+    endpoint.Reset();
+    CHECK(end.whole);
+    CHECK_FALSE(end.kept);
+    CHECK(ReadResponseBody() == "the answer");
+  }
+}
+
 /// Guards against a request of which nobody can tell whether it ran, though not
 /// a byte of it was sent.
 TEST_CASE_METHOD(SlowUploadFixture,
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -8,7 +8,6 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 
 #include "sapphirelane/base/hash.h"
 #include "sapphirelane/base/log.h"
@@ -281,12 +280,13 @@
   }
   m_writing = true;
   m_maybeSent = true;
-  // The write refers to the socket between its parts, even after Finish().
-  asio::async_write(
-    m_connection->socket,
+  // The write refers to the socket even after Finish().
+  m_connection->socket.async_write_some(
     asio::buffer(m_output),
-    [self = shared_from_this(), connection = m_connection](
-      const Error& aError, std::size_t /*aSize*/) { self->OnWritten(aError); });
+    [self = shared_from_this(), connection = m_connection](const Error& aError,
+                                                           std::size_t aSize) {
+      self->OnWritten(aError, aSize);
+    });
 }
 
 /// Appends available bytes of the request body to the output.
@@ -326,10 +326,10 @@
 }
 
 void
-UpstreamTransfer::OnWritten(const Error& aError)
+UpstreamTransfer::OnWritten(const Error& aError, std::size_t aSize)
 {
   m_writing = false;
-  m_output.clear();
+  m_output.erase(0, aError ? std::string::npos : aSize);
   if (m_finished) {
     return;
   }
@@ -337,17 +337,20 @@
     // The endpoint may have responded before it closed the connection; OnRead
     // will receive the response or the end of the stream.
     m_reusable = false;
-    m_writeFailed = true;
+    m_writeFailed = aError != asio::error::operation_aborted;
     m_requestComplete = true;
-    return;
   }
-  WriteOutput();
+  if (m_streamEnded) {
+    OnStreamEnd();
+  } else if (!aError) {
+    WriteOutput();
+  }
 }
 
 void
 UpstreamTransfer::Read()
 {
-  if (m_reading || m_finished || m_checking ||
+  if (m_reading || m_streamEnded || m_finished || m_checking ||
       m_buffered.size() >= kMaxBufferedBytes) {
     return;
   }
@@ -389,21 +392,39 @@
 UpstreamTransfer::OnReadError(const Error& aError)
 {
   m_reusable = false;
-  const bool endOfStream = aError == asio::error::eof;
-  // A write that fails because of a reset consumes the socket's error, and the
-  // next read sees an end of stream.
-  const bool closed = endOfStream && !m_writeFailed;
-  if (closed && m_headRead && !m_mismatched && m_parser->need_eof()) {
-    OnResponseComplete();
+  if (aError != asio::error::eof) {
+    OnBrokenOff(aError.message());
     return;
   }
-  const std::string reason = endOfStream
-                               ? "the connection ended before the answer did"
-                               : aError.message();
+  m_streamEnded = true;
+  if (m_writing) {
+    // OnWritten follows with the result of the write.
+    Error ignored;
+    m_connection->socket.cancel(ignored);
+    return;
+  }
+  OnStreamEnd();
+}
+
+void
+UpstreamTransfer::OnStreamEnd()
+{
+  const bool endsAnswer =
+    m_headRead && !m_mismatched && m_parser->need_eof() && !m_writeFailed;
+  if (endsAnswer) {
+    OnResponseComplete();
+  } else {
+    OnBrokenOff("the connection ended before the answer did");
+  }
+}
+
+void
+UpstreamTransfer::OnBrokenOff(const std::string& aError)
+{
   if (m_receivedAny) {
-    Finish(false, reason);
+    Finish(false, aError);
   } else {
-    CheckEndpoint(reason);
+    CheckEndpoint(aError);
   }
 }
 
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -57,12 +57,19 @@
   std::string FormatRequestHead(TimePoint aNow) const;
   void WriteOutput();
   bool AppendRequestBody();
-  void OnWritten(const Error& aError);
+  void OnWritten(const Error& aError, std::size_t aSize);
 
   void Read();
   void OnRead(const Error& aError, std::size_t aSize);
   void OnReadError(const Error& aError);
 
+  /// Decides whether the end of the stream is that of an answer without a
+  /// length. Called only while no write is under way: a write that meets a
+  /// reset consumes the socket's error, and a read then sees an end of the
+  /// stream in place of the reset.
+  void OnStreamEnd();
+  void OnBrokenOff(const std::string& aError);
+
   /// Connects once more to the endpoint, which broke off before it answered, to
   /// learn whether its process has ended; then ends the attempt.
   void CheckEndpoint(const std::string& aError);
@@ -103,6 +110,7 @@
   bool m_bodyGone = false;
   std::optional<ResponseParser> m_parser;
   bool m_reading = false;
+  bool m_streamEnded = false;   ///< Of what the endpoint sends.
   bool m_checking = false;      ///< See CheckEndpoint.
   bool m_endpointEnded = false; ///< Its process is gone.
   bool m_receivedAny = false;   ///< A byte of a response has arrived.
--- /dev/null
+++ b/tests/broken_answers.py
@@ -0,0 +1,207 @@
+#!/usr/bin/python3
+"""Plays broken and unusual answers to a real daemon, over sockets.
+
+    tests/broken_answers.py DAEMON [WORD]
+
+DAEMON is the program; with WORD only the checks whose names hold it are played.
+Endpoints and the store are stand-ins. A broken answer must reach no caller and
+change nothing in a daemon; a sound one is passed on whole.
+"""
+import asyncio
+import dataclasses
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent / "soak"))
+
+import answers        # noqa: E402
+import wire           # noqa: E402
+import world as w     # noqa: E402
+from endpoints import Endpoint, body_of   # noqa: E402
+
+SEED = 2
+SLOT = 12             # ports apart from those of a soak beside it
+START_S = 20.0
+LIMIT_S = 2.0
+EARLY_TURNS = 100     # of each of the callers
+EARLY_CALLERS = 8
+UPLOAD = 360000
+PIECE = 1000
+STORE_WAIT_S = 1.0    # for some reads of a daemon that polls the store
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a caller saw; status 0: no whole answer."""
+    status: int
+    headers: dict
+    body: bytes
+    request: str
+
+
+class ScriptedEndpoint(Endpoint):
+    """Answers as the world's script says."""
+
+    async def on_connection(self, reader, writer):
+        self.connections += 1
+        self.writers.add(writer)
+        try:
+            await wire.serve(reader, writer, self.handle, self.begin)
+        finally:
+            self.writers.discard(writer)
+
+    async def begin(self, request):
+        script = self.world.script
+        if script is None or not request.target.startswith("/upload/"):
+            return None
+        raw = self.script_answer(request)
+        return raw if raw is not None and raw.early else None
+
+    def script_answer(self, request):
+        name = request.headers.get("x-sapphirelane-request-id", "")
+        if self.world.script is None or name in self.world.scripted:
+            return None
+        self.world.scripted[name] = self.name
+        return self.world.script(self.fields(name), body_of(name))
+
+    def fields(self, name):
+        answer = self.good(name)
+        return {key: value for key, value in answer.headers.items()
+                if key != "X-Sapphirelane-Server-Load"}
+
+    async def work(self, name, writer, until):
+        request = next(run for run in reversed(self.world.runs)
+                       if run.request == name)
+        raw = None
+        if request.target.startswith(("/read/", "/approve/")):
+            raw = self.script_answer(wire.Request(
+                request.method, request.target,
+                {"x-sapphirelane-request-id": name}, b""))
+        return raw if raw is not None else self.good(name)
+
+
+class ScriptedWorld(w.World):
+    """One daemon, and endpoints that follow a script."""
+
+    def __init__(self, folder, program):
+        super().__init__(SEED, folder, program, 1, SLOT)
+        self.script = None      # makes an answer; None: endpoints are sound
+        self.scripted = {}      # request -> endpoint that followed the script
+        self.draw = random.Random(SEED)
+
+    def new_endpoint(self, *arguments):
+        endpoint = ScriptedEndpoint(*arguments)
+        endpoint.connections = 0
+        return endpoint
+
+    async def call(self, route, body=b"", pieces=False):
+        name = f"{self.draw.getrandbits(64):016x}"
+        daemon = self.daemons[0]
+        client = await wire.Client.connect("127.0.0.1", daemon.front.port)
+        request = wire.Request(
+            "POST" if body else "GET", f"/{route}/x", {
+                "Host": self.host, "X-Sapphirelane-Request-Id": name,
+                "X-Sapphirelane-Deadline-Ms": str(int(LIMIT_S * 1000)),
+                "X-Sapphirelane-Credential": "key-steady-2"}, body)
+        sending = wire.Sending()
+        if pieces:
+            sending.pieces = [PIECE] * (len(body) // PIECE)
+            sending.pauses = [0] * len(sending.pieces)
+        exchange = client.begin(request, sending)
+        try:
+            answer = await asyncio.wait_for(exchange.answer(), LIMIT_S + 2)
+            return Outcome(answer.status, answer.headers, answer.body, name)
+        except (wire.Broken, OSError, asyncio.TimeoutError):
+            return Outcome(0, {}, b"", name)
+        finally:
+            exchange.end()
+            client.close()
+
+    async def await_ready(self):
+        end = time.monotonic() + START_S
+        while time.monotonic() < end:
+            try:
+                if (await self.call("read")).status == 200:
+                    return
+            except wire.Broken:
+                pass
+            await asyncio.sleep(0.1)
+        raise SystemExit("the daemon does not serve")
+
+    def runs_of(self, outcome):
+        return [run for run in self.runs if run.request == outcome.request]
+
+
+class Checks:
+    """The checks; each returns what is wrong, one text an item."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def is_whole(self, outcome):
+        return outcome.body == body_of(outcome.request)
+
+    async def sound(self, makers, route):
+        for name, maker in makers.items():
+            self.world.script = maker
+            body = b"u" * UPLOAD if route == "upload" else b""
+            outcome = await self.world.call(route, body, bool(body))
+            if not 200 <= outcome.status < 300 or not self.is_whole(outcome) \
+                    or self.world.scripted.get(outcome.request) != \
+                    outcome.headers.get("x-soak-endpoint"):
+                yield f"{name}: {outcome.status}, {len(outcome.body)} bytes"
+            self.world.script = None
+
+    async def early(self, maker):
+        """An early answer is reset while its upload is written."""
+        self.world.script = maker
+        outcomes = []
+
+        async def upload():
+            for _ in range(EARLY_TURNS):
+                outcomes.append(await self.world.call(
+                    "upload", b"u" * UPLOAD, True))
+        await asyncio.gather(*(upload() for _ in range(EARLY_CALLERS)))
+        self.world.script = None
+        wrong = [one for one in outcomes if 200 <= one.status < 300
+                 and not self.is_whole(one)]
+        print(f"    {len(self.world.scripted)} answers reset, {len(wrong)} "
+              "of them given as whole ones", flush=True)
+        if wrong:
+            yield f"{len(wrong)} parts of answers were given as whole ones"
+        if not self.world.scripted:
+            yield "no answer was reset"
+
+
+async def play(program, word):
+    with tempfile.TemporaryDirectory(prefix="broken-answers-") as folder:
+        world = ScriptedWorld(folder, program)
+        checks = Checks(world)
+        groups = {
+            "sound": lambda: checks.sound(answers.SOUND, "read"),
+            "sound early": lambda: checks.sound(answers.SOUND_EARLY, "upload"),
+            "early": lambda: checks.early(answers.EARLY["early, reset"]),
+        }
+        failed = 0
+        try:
+            await world.start()
+            await world.await_ready()
+            for name, group in groups.items():
+                if word not in name:
+                    continue
+                world.scripted.clear()
+                faults = [fault async for fault in group()]
+                failed += bool(faults)
+                print(f"{name}: {'FAILED' if faults else 'passed'}",
+                      *faults, sep="\n    ", flush=True)
+        finally:
+            world.close()
+        return failed
+
+
+if __name__ == "__main__":
+    sys.exit(1 if asyncio.run(play(
+        sys.argv[1], sys.argv[2] if len(sys.argv) > 2 else "")) else 0)
--- /dev/null
+++ b/tests/soak/answers.py
@@ -0,0 +1,103 @@
+"""Answers as an endpoint in trouble sends them, and unusual ones that are sound."""
+import asyncio
+import dataclasses
+import socket
+import struct
+
+PART = 0.4            # of a body that leaves before the connection is reset
+RESET_S = 0.002       # from there to the reset
+LINGER_S = 2.0        # for which the rest of a request is read at most
+BLOCK = 65536
+
+
+@dataclasses.dataclass
+class RawAnswer:
+    """Bytes that take the place of an answer."""
+    data: bytes
+    ending: str = "keep"      # keep, close, reset, or linger: ends the sending
+    early: bool = False       # sent before the request's body is read
+
+
+def reset(writer):
+    """Resets a connection, whatever it has not read."""
+    raw = writer.get_extra_info("socket")
+    if raw is not None and raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                       struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def send(answer, reader, writer):
+    """@return True if the connection stays."""
+    writer.write(answer.data)
+    if answer.ending == "reset":
+        await asyncio.sleep(RESET_S)
+        reset(writer)
+    elif answer.ending == "linger":
+        writer.write_eof()
+        try:
+            while await asyncio.wait_for(reader.read(BLOCK), LINGER_S):
+                pass
+        except (OSError, asyncio.TimeoutError):
+            pass
+    return answer.ending == "keep"
+
+
+def head(line, fields):
+    text = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return (f"{line}\r\n{text}").encode("latin-1")
+
+
+OK = "HTTP/1.1 200 OK"
+
+
+def framed(fields, body, line=OK, extra=b""):
+    return RawAnswer(head(line, fields) + extra +
+                     f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+
+def unframed(fields, body, extra=b"", line=OK, **rest):
+    return RawAnswer(head(line, fields) + extra + b"\r\n" + body, **rest)
+
+
+def chunks(body):
+    return f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+
+
+# Each makes an answer from the fields and the body of a sound one.
+
+EARLY = {
+    "early, reset": lambda fields, body: unframed(
+        fields, body[:int(len(body) * PART)], ending="reset", early=True),
+}
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+SOUND = {
+    "no length": lambda fields, body: unframed(fields, body, ending="close"),
+    "no length, HTTP/1.0": lambda fields, body: unframed(
+        fields, body, line="HTTP/1.0 200 OK", ending="close"),
+    "chunks": lambda fields, body: unframed(fields, chunks(body), CHUNKED),
+    "no reason": lambda fields, body: framed(fields, body, "HTTP/1.1 200 "),
+    "odd reason": lambda fields, body: framed(
+        fields, body, "HTTP/1.1 200 O:K\t\xe9!"),
+    "status 299": lambda fields, body: framed(fields, body, "HTTP/1.1 299 OK"),
+    "odd names": lambda fields, body: framed(
+        fields, body, extra=b"!#$%&'*+-.^_`|~9: 1\r\n7: 1\r\nx_y.z: 1\r\n"),
+    "odd values": lambda fields, body: framed(
+        fields, body, extra=b"X-A:\r\nX-B:\t b \xe9:\tc \t\r\n"),
+    "same length twice": lambda fields, body: framed(
+        fields, body, extra=b"Content-Length: %d\r\n" % len(body)),
+    "interim answers": lambda fields, body: RawAnswer(
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+        b"Link: x\r\n\r\n" + framed(fields, body).data),
+}
+
+SOUND_EARLY = {
+    "early, with a length": lambda fields, body: dataclasses.replace(
+        framed(fields, body), early=True, ending="linger"),
+    "early, in chunks": lambda fields, body: unframed(
+        fields, chunks(body), CHUNKED, early=True, ending="linger"),
+    "early, no length": lambda fields, body: unframed(
+        fields, body, early=True, ending="linger"),
+}
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -155,7 +155,7 @@
                 self.ending = asyncio.create_task(self.end_by_request())
                 return None
             answer = await self.work(name, writer, until)
-            if answer is not None:
+            if isinstance(answer, wire.Answer):
                 run.answer = (answer.status, answer.body)
             return answer
         finally:
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -1,6 +1,8 @@
 """A loopback proxy whose connections can be harmed from outside."""
 import asyncio
 
+import answers
+
 BLOCK = 65536
 
 
@@ -34,7 +36,7 @@
         """Resets the connections that stand now."""
         for pair in list(self.pairs):
             for writer in pair:
-                writer.transport.abort()
+                answers.reset(writer)
 
     async def on_connection(self, reader, writer):
         if self.mode == "refuse":
@@ -70,4 +72,4 @@
                 writer.write_eof()
         except OSError:
             for one in pair:
-                one.transport.abort()
+                answers.reset(one)
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -4,6 +4,8 @@
 
 import h11
 
+import answers
+
 BLOCK = 65536  # bytes read at once
 
 
@@ -61,10 +63,11 @@
             raise Broken("the message ended early")
 
 
-async def serve(reader, writer, handle):
+async def serve(reader, writer, handle, begin=None):
     """Answers requests of one connection until it ends.
 
-    handle(request, writer) gives an Answer, or None to end the connection.
+    handle(request, writer) gives an Answer, a RawAnswer, or None to end the
+    connection. begin(request) may give a RawAnswer before the body is read.
     """
     state = h11.Connection(h11.SERVER)
     try:
@@ -72,13 +75,24 @@
             event = await next_event(state, reader)
             if not isinstance(event, h11.Request):
                 return
-            headers = headers_of(event)
-            body = await read_body(state, reader)
             request = Request(event.method.decode(), event.target.decode(),
-                              headers, body)
+                              headers_of(event), b"")
+            answer = await begin(request) if begin is not None else None
+            if answer is not None:
+                await answers.send(answer, reader, writer)
+                return
+            request.body = await read_body(state, reader)
             answer = await handle(request, writer)
             if answer is None:
                 return
+            if isinstance(answer, answers.RawAnswer):
+                if not await answers.send(answer, reader, writer):
+                    return
+                state.send(h11.Response(status_code=200, headers=[
+                    ("Content-Length", "0")]))
+                state.send(h11.EndOfMessage())
+                state.start_next_cycle()
+                continue
             fields = dict(answer.headers)
             fields["Content-Length"] = str(len(answer.body))
             if answer.closes:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -151,12 +151,14 @@
         chosen = there if 2 * len(there) >= len(self.daemons) else self.daemons
         return chosen[number % len(chosen)]
 
+    def new_endpoint(self, *arguments):
+        return Endpoint(*arguments)
+
     async def add_endpoint(self, service, port=None):
         number = len(self.endpoints)
-        endpoint = Endpoint(self, f"i-{number:04d}", service,
-                            self.zones[number % 3],
-                            port or self.base + 300 + number,
-                            self.sizes.get(service, Size()))
+        endpoint = self.new_endpoint(
+            self, f"i-{number:04d}", service, self.zones[number % 3],
+            port or self.base + 300 + number, self.sizes.get(service, Size()))
         self.endpoints.append(endpoint)
         await endpoint.start()
         endpoint.link = Link(self.base + 350 + number, endpoint.port)
