Hold each response to one rule on its version and status

Callers saw, on other systems: an endpoint in trouble sent an answer with status 000, and it was passed on as an answer.

A store's 000, 001, 099, 2000, 20 and 2x0 were refused by libcurl.

What was not refused: libcurl takes 600, 999, "HTTP/2.0 200" and a head that is cut off in a header line for an answer. A daemon took a new configuration from "HTTP/2.0 200 OK".

Cause: each reader trusted its library's parser, and the one for endpoints had a check of its own.

Change: ResponseHeadCheck in wire decides on the version and the status, and on lines without a carriage return. The upstream client asks it through ScanHead, which moves there from proxy; the client for the store and for other daemons asks it line by line, and for the end of the head. A refused response is a failure of the call like one that doesn't come, and its connection is closed.

--- /dev/null
+++ b/include/sapphirelane/wire/http_head.h
@@ -0,0 +1,72 @@
+#ifndef SAPPHIRELANE_WIRE_HTTP_HEAD_H
+#define SAPPHIRELANE_WIRE_HTTP_HEAD_H
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace sapphirelane {
+
+/// @brief Which message a head belongs to.
+enum class HttpMessage
+{
+  Request,
+  Response,
+};
+
+/// @brief Result of scanning an HTTP message head before it is parsed.
+struct HeadScanResult
+{
+  std::size_t size = 0; ///< Bytes of the head; 0 if it is incomplete.
+  std::string error;    ///< Empty if the head is valid.
+};
+
+/// @brief Finds the end of a head, and lines that lenient and strict parsers
+/// read differently, which would allow request smuggling.
+///
+/// Folded lines, header names that are not a token (such as one with a space
+/// before the colon) and lines that end without a carriage return are errors;
+/// of a response also what ResponseHeadCheck finds.
+HeadScanResult
+ScanHead(std::string_view aBytes, HttpMessage aMessage);
+
+/// @brief Decides whether the lines of a response head are those of a valid
+/// HTTP/1 response. All that reads responses uses it, as parsers of libraries
+/// accept more.
+///
+/// Errors are: a line without a carriage return; a version other than HTTP/1;
+/// a status outside 100 to 599 (RFC 9110, section 15), or 101, as nothing asks
+/// for another protocol.
+class ResponseHeadCheck
+{
+public:
+  /// @brief Checks the next line, which ends with a line feed. After an interim
+  /// response the next head follows.
+  void AddLine(std::string_view aLine);
+
+  /// @brief The first error; empty if there is none.
+  const std::string& Error() const { return m_error; }
+
+  /// @brief Whether the head of the final response is complete.
+  bool IsComplete() const { return m_part == Part::End; }
+
+private:
+  enum class Part
+  {
+    StatusLine,
+    Fields,
+    End,
+  };
+
+  void CheckStatusLine(std::string_view aLine);
+  void EndHead();
+  void Reject(std::string aError);
+
+  Part m_part = Part::StatusLine;
+  bool m_interim = false;
+  std::string m_error;
+};
+
+} // namespace sapphirelane
+
+#endif // SAPPHIRELANE_WIRE_HTTP_HEAD_H
--- a/src/sapphirelane/proxy/caller_session.cpp
+++ b/src/sapphirelane/proxy/caller_session.cpp
@@ -10,8 +10,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
 
-#include "sapphirelane/proxy/head_scan.h"
 #include "sapphirelane/proxy/refusal.h"
+#include "sapphirelane/wire/http_head.h"
 
 namespace sapphirelane {
 
@@ -213,7 +213,7 @@
     m_headIncomplete = false;
     return false;
   }
-  const HeadScanResult scan = ScanHead(m_input.Text());
+  const HeadScanResult scan = ScanHead(m_input.Text(), HttpMessage::Request);
   const bool tooLarge =
     scan.size > m_context.limits.head_bytes ||
     (scan.size == 0 && m_input.Size() > m_context.limits.head_bytes);
--- a/src/sapphirelane/proxy/upstream_transfer.cpp
+++ b/src/sapphirelane/proxy/upstream_transfer.cpp
@@ -12,7 +12,7 @@
 #include "sapphirelane/base/hash.h"
 #include "sapphirelane/base/log.h"
 #include "sapphirelane/claims/claim.h"
-#include "sapphirelane/proxy/head_scan.h"
+#include "sapphirelane/wire/http_head.h"
 
 namespace sapphirelane {
 
@@ -37,10 +37,7 @@
 /// Time to learn whether an endpoint has ended; it takes a round trip.
 constexpr Milliseconds kEndpointCheckTimeout{ 50 };
 
-constexpr int kMinInterimStatus = 100;
-constexpr int kSwitchingProtocolsStatus = 101;
 constexpr int kMinFinalStatus = 200;
-constexpr int kMaxStatus = 599;
 
 /// Interim responses that are skipped before a response; an endpoint that sends
 /// more would hold the attempt until its time limit.
@@ -484,14 +481,16 @@
     return false;
   }
   if (!m_parser->is_header_done()) {
-    const HeadScanResult scan = ScanHead(input.Text());
+    const HeadScanResult scan = ScanHead(input.Text(), HttpMessage::Response);
     if (scan.size == 0 && input.Size() < kMaxHeadBytes) {
       return false;
     }
     if (scan.size == 0 || scan.size > kMaxHeadBytes || !scan.error.empty()) {
       m_reusable = false;
       RecordStrayBytes();
-      Finish(false, "the answer's head cannot be read");
+      Finish(false,
+             "the answer's head cannot be read: " +
+               (scan.error.empty() ? "it is too long" : scan.error));
       return false;
     }
     m_parser->header_limit(static_cast<std::uint32_t>(scan.size + 1));
@@ -508,11 +507,12 @@
     return false;
   }
   if (!headWasDone && m_parser->is_header_done()) {
-    const char* fault = FindStatusFault();
-    if (fault != nullptr) {
+    const bool interim = m_parser->Head().status < kMinFinalStatus;
+    m_interimResponses += interim ? 1 : 0;
+    if (m_interimResponses > kMaxInterimResponses) {
       m_reusable = false;
       RecordStrayBytes();
-      Finish(false, fault);
+      Finish(false, "too many interim responses");
       return false;
     }
     OnResponseHead();
@@ -537,24 +537,6 @@
   return used > 0 && input.Size() > 0;
 }
 
-/// @return Why the status of the response is not accepted; nullptr if it is.
-const char*
-UpstreamTransfer::FindStatusFault()
-{
-  const int status = m_parser->Head().status;
-  if (status < kMinInterimStatus || status > kMaxStatus) {
-    return "the status is not an HTTP status";
-  }
-  if (status == kSwitchingProtocolsStatus) {
-    return "the endpoint switches protocols unasked";
-  }
-  const bool interim = status < kMinFinalStatus;
-  m_interimResponses += interim ? 1 : 0;
-  return interim && m_interimResponses > kMaxInterimResponses
-           ? "too many interim responses"
-           : nullptr;
-}
-
 void
 UpstreamTransfer::OnResponseHead()
 {
--- a/src/sapphirelane/proxy/upstream_transfer.h
+++ b/src/sapphirelane/proxy/upstream_transfer.h
@@ -78,7 +78,6 @@
                          const std::string& aError);
   std::optional<boost::asio::ip::tcp::endpoint> Address() const;
   bool ParseInput();
-  const char* FindStatusFault();
   void OnResponseHead();
   void OnResponseComplete();
   void ReportHead();
--- a/src/sapphirelane/store/http_client.cpp
+++ b/src/sapphirelane/store/http_client.cpp
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 
 #include "sapphirelane/base/error.h"
+#include "sapphirelane/wire/http_head.h"
 
 namespace sapphirelane {
 
@@ -31,7 +32,7 @@
                  const std::string& aBody,
                  const std::vector<std::string>& aHeaders) override
   {
-    HttpReply reply;
+    ReplyReader reader;
     curl_easy_reset(m_easy);
     const std::string url = "http://" + m_address + aPath;
     curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
@@ -50,9 +51,9 @@
     }
     curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, aMethod.c_str());
     curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &CurlClient::OnBody);
-    curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, &reply.body);
+    curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, &reader);
     curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &CurlClient::OnHeader);
-    curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, &reply.headers);
+    curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, &reader);
     curl_slist* headers = curl_slist_append(nullptr, "Expect:");
     for (const std::string& header : aHeaders) {
       headers = curl_slist_append(headers, header.c_str());
@@ -60,37 +61,56 @@
     curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, headers);
     const CURLcode code = curl_easy_perform(m_easy);
     curl_slist_free_all(headers);
+    if (!reader.check.Error().empty()) {
+      throw PlatformUnavailable(url + ": " + reader.check.Error());
+    }
     if (code != CURLE_OK) {
       throw PlatformUnavailable(url + ": " + curl_easy_strerror(code));
     }
+    if (!reader.check.IsComplete()) {
+      throw PlatformUnavailable(url + ": the head is cut off");
+    }
     long status = 0;
     curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
-    reply.status = static_cast<int>(status);
-    return reply;
+    reader.reply.status = static_cast<int>(status);
+    return std::move(reader.reply);
   }
 
 private:
+  /// A reply as it comes in.
+  struct ReplyReader
+  {
+    HttpReply reply;
+    ResponseHeadCheck check;
+  };
+
   static std::size_t OnBody(char* aBytes,
                             std::size_t aItemSize,
                             std::size_t aItems,
-                            void* aBody)
+                            void* aReader)
   {
-    static_cast<std::string*>(aBody)->append(aBytes, aItemSize * aItems);
-    return aItemSize * aItems;
+    const std::size_t size = aItemSize * aItems;
+    static_cast<ReplyReader*>(aReader)->reply.body.append(aBytes, size);
+    return size;
   }
 
+  /// Takes one line of a head, or a trailer.
+  /// @return The size of the line; 0, which ends the call, if it is malformed.
   static std::size_t OnHeader(char* aBytes,
                               std::size_t aItemSize,
                               std::size_t aItems,
-                              void* aHeaders)
+                              void* aReader)
   {
     const std::size_t size = aItemSize * aItems;
     const std::string line(aBytes, size);
+    auto& reader = *static_cast<ReplyReader*>(aReader);
+    reader.check.AddLine(line);
+    if (!reader.check.Error().empty()) {
+      return 0;
+    }
     const std::size_t colon = line.find(':');
     if (colon != std::string::npos) {
-      auto& headers =
-        *static_cast<std::map<std::string, std::string>*>(aHeaders);
-      headers[absl::AsciiStrToLower(line.substr(0, colon))] =
+      reader.reply.headers[absl::AsciiStrToLower(line.substr(0, colon))] =
         std::string(absl::StripAsciiWhitespace(line.substr(colon + 1)));
     }
     return size;
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -21,6 +21,7 @@
 import wire           # noqa: E402
 import world as w     # noqa: E402
 from endpoints import Endpoint, body_of   # noqa: E402
+from store import Store   # noqa: E402
 
 SEED = 2
 SLOT = 12             # ports apart from those of a soak beside it
@@ -30,9 +31,18 @@
 EARLY_CALLERS = 8
 UPLOAD = 360000
 PIECE = 1000
-STORE_WAIT_S = 1.0    # for some reads of a daemon that polls the store
+STORE_WAIT_S = 1.0    # in which a daemon reads the store several times
+STORE_LIMIT_S = 6.0   # until it has a new configuration, after failures too
+CHANGED_KEY = "key-steady-0"
 
 
+# The store's calls name 200 as their only status of success.
+STORE_SOUND = {name: maker for name, maker in answers.SOUND.items()
+               if name != "status 299"}
+# Those that differ to a client library; each takes a second and more.
+STORE_STATUS = {name: answers.BROKEN_STATUS[f"status {name}"] for name in (
+    "HTTP/1.1 000 OK", "HTTP/2.0 200 OK")}
+
 @dataclasses.dataclass
 class Outcome:
     """What a caller saw; status 0: no whole answer."""
@@ -83,11 +93,24 @@
         return raw if raw is not None else self.good(name)
 
 
+class ScriptedStore(Store):
+    """Sends its answers as a script says."""
+    script = None
+
+    def answer(self, status, body):
+        sound = super().answer(status, body)
+        if self.script is None or status != 200:
+            return sound
+        return self.script(sound.headers, sound.body)
+
+
 class ScriptedWorld(w.World):
     """One daemon, and endpoints that follow a script."""
 
     def __init__(self, folder, program):
         super().__init__(SEED, folder, program, 1, SLOT)
+        self.store = ScriptedStore()
+        self.store.random = self.random
         self.script = None      # makes an answer; None: endpoints are sound
         self.scripted = {}      # request -> endpoint that followed the script
         self.draw = random.Random(SEED)
@@ -97,7 +120,7 @@
         endpoint.connections = 0
         return endpoint
 
-    async def call(self, route, body=b"", pieces=False):
+    async def call(self, route, body=b"", pieces=False, key="key-steady-2"):
         name = f"{self.draw.getrandbits(64):016x}"
         daemon = self.daemons[0]
         client = await wire.Client.connect("127.0.0.1", daemon.front.port)
@@ -105,7 +128,7 @@
             "POST" if body else "GET", f"/{route}/x", {
                 "Host": self.host, "X-Sapphirelane-Request-Id": name,
                 "X-Sapphirelane-Deadline-Ms": str(int(LIMIT_S * 1000)),
-                "X-Sapphirelane-Credential": "key-steady-2"}, body)
+                "X-Sapphirelane-Credential": key}, body)
         sending = wire.Sending()
         if pieces:
             sending.pieces = [PIECE] * (len(body) // PIECE)
@@ -144,6 +167,45 @@
     def is_whole(self, outcome):
         return outcome.body == body_of(outcome.request)
 
+    def check_given(self, name, outcome):
+        """A success is sound: whole, and without a line of the broken one."""
+        trouble = [key for key in outcome.headers if "rouble" in key.lower()]
+        own = outcome.headers.get("x-soak-endpoint")
+        bad = self.world.scripted.get(outcome.request)
+        if 200 <= outcome.status < 300 and not self.is_whole(outcome):
+            yield f"{name}: {len(outcome.body)} bytes as a whole answer"
+        if trouble:
+            yield f"{name}: passed on {trouble}"
+        if own is not None and own == bad:
+            yield f"{name}: the broken answer as a {outcome.status}"
+        if outcome.status and not 200 <= outcome.status <= 599:
+            yield f"{name}: status {outcome.status}"
+
+    async def broken(self, makers):
+        """May be repeated: another endpoint answers. May not: it ends."""
+        for name, maker in makers.items():
+            self.world.script = maker
+            outcome = await self.world.call("read")
+            for fault in self.check_given(name, outcome):
+                yield fault
+            if outcome.status != 200 or \
+                    len(self.world.runs_of(outcome)) != 2:
+                yield (f"{name}: {outcome.status} after "
+                       f"{len(self.world.runs_of(outcome))} runs of a request "
+                       "that may be repeated")
+            outcome = await self.world.call("approve", b"approve")
+            for fault in self.check_given(name, outcome):
+                yield fault
+            if outcome.status not in (0, 502, 504) or \
+                    len(self.world.runs_of(outcome)) != 1:
+                yield (f"{name}: {outcome.status} after "
+                       f"{len(self.world.runs_of(outcome))} runs of a request "
+                       "that may run once")
+            self.world.script = None
+            outcome = await self.world.call("read")
+            if outcome.status != 200 or not self.is_whole(outcome):
+                yield f"{name}: {outcome.status} to the request that follows"
+
     async def sound(self, makers, route):
         for name, maker in makers.items():
             self.world.script = maker
@@ -155,6 +217,52 @@
                 yield f"{name}: {outcome.status}, {len(outcome.body)} bytes"
             self.world.script = None
 
+    async def store_broken(self, makers):
+        """A daemon takes nothing from broken answers of its store."""
+        for name, maker in makers.items():
+            self.world.store.script = maker
+            await self.change_key()
+            await asyncio.sleep(STORE_WAIT_S)
+            status = (await self.call_with_key()).status
+            if status != 200:
+                yield f"{name}: was taken for an answer, {status}"
+            self.world.store.script = None
+            if not await self.key_is_refused():
+                yield f"{name}: the daemon does not recover"
+            await self.restore_key()
+
+    async def store_sound(self, makers):
+        for name, maker in makers.items():
+            self.world.store.script = maker
+            await self.change_key()
+            if not await self.key_is_refused():
+                yield f"{name}: was not taken for an answer"
+            self.world.store.script = None
+            await self.restore_key()
+
+    async def call_with_key(self):
+        return await self.world.call("read", key=CHANGED_KEY)
+
+    async def change_key(self):
+        self.world.withdrawn[CHANGED_KEY] = time.monotonic()
+        self.world.write_config()
+
+    async def restore_key(self):
+        del self.world.withdrawn[CHANGED_KEY]
+        self.world.write_config()
+        await self.await_status(200)
+
+    async def key_is_refused(self):
+        return await self.await_status(401)
+
+    async def await_status(self, status):
+        end = time.monotonic() + STORE_LIMIT_S
+        while time.monotonic() < end:
+            if (await self.call_with_key()).status == status:
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
     async def early(self, maker):
         """An early answer is reset while its upload is written."""
         self.world.script = maker
@@ -183,7 +291,10 @@
         groups = {
             "sound": lambda: checks.sound(answers.SOUND, "read"),
             "sound early": lambda: checks.sound(answers.SOUND_EARLY, "upload"),
+            "status": lambda: checks.broken(answers.BROKEN_STATUS),
             "early": lambda: checks.early(answers.EARLY["early, reset"]),
+            "store, sound": lambda: checks.store_sound(STORE_SOUND),
+            "store, status": lambda: checks.store_broken(STORE_STATUS),
         }
         failed = 0
         try:
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -71,6 +71,13 @@
         fields, body[:int(len(body) * PART)], ending="reset", early=True),
 }
 
+BROKEN_STATUS = {
+    f"status {line}": lambda fields, body, line=line: framed(fields, body, line)
+    for line in ("HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK",
+                 "HTTP/1.1 600 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 2000 OK",
+                 "HTTP/1.1 20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1  OK",
+                 "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1x 200 OK")}
+
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 SOUND = {
