Hold each header line of a response to one rule, in libcurl's answers too

Callers saw, on other systems: an answer in whose head the name of a field held a blank or a control byte was passed on, with that line or with a body that was not the endpoint's.

Here such an answer of an endpoint has been refused before, by the scan of heads and by Boost.Beast. New tests play seventeen malformed lines, and lengths and codings that hide in such lines, through a real daemon; with endpoints all of them hold on too.

What was not refused: libcurl, which reads the answers of the store and of other daemons, passes such lines on. "Content-Length : 4" and "Transfer-Encoding : chunked" were ignored by it, so that a body with bytes behind its end, or with the sizes of its chunks, was taken for the whole; a folded line became a field of its own; trailers were not looked at.

Cause: the check of header lines was the scan's alone, which only endpoints' and callers' heads went through.

Change: FindFieldLineError is the rule, for request heads, response heads and trailers: a name is a token, a line is not folded, a value has no control character but tabs (RFC 9110, sections 5.1 and 5.5; Boost.Beast refused those values before). ResponseHeadCheck applies it to each line that libcurl reads.

Evidence: HttpClient's tests for malformed lines, hidden framing and trailers failed before and pass now; the names and values that are unusual but legal are accepted before and after.

--- a/include/sapphirelane/wire/http_head.h
+++ b/include/sapphirelane/wire/http_head.h
@@ -22,43 +22,53 @@
 };
 
 /// @brief Finds the end of a head, and lines that lenient and strict parsers
-/// read differently, which would allow request smuggling.
+/// read differently, which would allow request smuggling or give a body that
+/// is not the sender's.
 ///
-/// Folded lines, header names that are not a token (such as one with a space
-/// before the colon) and lines that end without a carriage return are errors;
-/// of a response also what ResponseHeadCheck finds.
+/// Of a request the header lines are checked, see FindFieldLineError; of a
+/// response all of the head, see ResponseHeadCheck.
 HeadScanResult
 ScanHead(std::string_view aBytes, HttpMessage aMessage);
 
+/// @brief Checks a header or trailer line (RFC 9110, sections 5.1 and 5.5).
+///
+/// Folded lines, names that are not a token (such as one with a space before
+/// the colon) and values with control characters other than tabs are errors.
+/// @param aLine Without its line ending.
+/// @return What is wrong with it; empty if it is valid.
+std::string
+FindFieldLineError(std::string_view aLine);
+
 /// @brief Decides whether the lines of a response head are those of a valid
 /// HTTP/1 response. All that reads responses uses it, as parsers of libraries
 /// accept more.
 ///
 /// Errors are: a line without a carriage return; a version other than HTTP/1;
 /// a status outside 100 to 599 (RFC 9110, section 15), or 101, as nothing asks
-/// for another protocol.
+/// for another protocol; a field line with an error.
 class ResponseHeadCheck
 {
 public:
   /// @brief Checks the next line, which ends with a line feed. After an interim
-  /// response the next head follows.
+  /// response the next head follows, after a final one come trailers.
   void AddLine(std::string_view aLine);
 
   /// @brief The first error; empty if there is none.
   const std::string& Error() const { return m_error; }
 
   /// @brief Whether the head of the final response is complete.
-  bool IsComplete() const { return m_part == Part::End; }
+  bool IsComplete() const { return m_part == Part::Trailers; }
 
 private:
   enum class Part
   {
     StatusLine,
     Fields,
-    End,
+    Trailers,
   };
 
   void CheckStatusLine(std::string_view aLine);
+  void CheckField(std::string_view aLine);
   void EndHead();
   void Reject(std::string aError);
 
--- a/src/sapphirelane/store/http_client_test.cpp
+++ b/src/sapphirelane/store/http_client_test.cpp
@@ -88,6 +88,12 @@
       return std::nullopt;
     }
   }
+
+  /// @return An answer with one more header line.
+  static std::string WithLine(const std::string& aLine)
+  {
+    return "HTTP/1.1 200 OK\r\n" + aLine + "\r\nContent-Length: 4\r\n\r\nbody";
+  }
 };
 
 TEST_CASE_METHOD(HttpClientFixture,
@@ -112,6 +118,56 @@
   }
 }
 
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient, header name is not a token, is no answer",
+                 "[field]")
+{
+  using namespace std::string_literals;
+  for (const std::string& line : { "X Trouble: 1"s,
+                                   "X-Trouble : 1"s,
+                                   "X-Trouble\t: 1"s,
+                                   "X-Tro\tuble: 1"s,
+                                   "X-Tro\0uble: 1"s,
+                                   "X-Tro\x01uble: 1"s,
+                                   "X-Tro\x7fuble: 1"s,
+                                   "X-Tro\xe9uble: 1"s,
+                                   "X-Tro\ruble: 1"s,
+                                   "X-Tro\nuble: 1"s,
+                                   "X-First: 1\r\n X-Folded: 1"s,
+                                   " X-Trouble: 1"s,
+                                   ": 1"s,
+                                   "X-Trouble"s,
+                                   "X-Trouble: a\0b"s,
+                                   "X-Trouble: a\x01b"s,
+                                   "X-Trouble: a\nX-More: b"s }) {
+    INFO(line);
+    CHECK_FALSE(Call(WithLine(line)));
+  }
+}
+
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient, framing stands in a malformed line, is no answer",
+                 "[field]")
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string chunks = "4\r\nbody\r\n0\r\n\r\n";
+  for (const std::string& answer :
+       { status + "Content-Length : 4\r\n\r\nbody and more",
+         status + "Transfer-Encoding : chunked\r\n\r\n" + chunks,
+         status + "Transfer-Encoding\x01: chunked\r\n\r\n" + chunks }) {
+    INFO(answer);
+    CHECK_FALSE(Call(answer));
+  }
+}
+
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient, trailer is malformed, is no answer",
+                 "[field]")
+{
+  CHECK_FALSE(Call("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nbody\r\n0\r\nX Trouble: 1\r\n\r\n"));
+}
+
 TEST_CASE_METHOD(HttpClientFixture,
                  "HttpClient, answer without a length is reset, is no answer",
                  "[early]")
--- a/src/sapphirelane/wire/http_head.cpp
+++ b/src/sapphirelane/wire/http_head.cpp
@@ -41,25 +41,9 @@
   return absl::ascii_isdigit(static_cast<unsigned char>(aCharacter));
 }
 
+/// Checks the lines of a request head after its first one.
 std::string
-FindFieldLineError(std::string_view aLine)
-{
-  if (aLine.find('\n') != std::string_view::npos) {
-    return "a header line ends without a carriage return";
-  }
-  if (!aLine.empty() && kBlanks.find(aLine.front()) != std::string_view::npos) {
-    return "a header line is folded";
-  }
-  const std::size_t colon = aLine.find(':');
-  const std::string_view name = aLine.substr(0, colon);
-  const bool isToken = colon != std::string_view::npos && !name.empty() &&
-                       std::all_of(name.begin(), name.end(), IsTokenCharacter);
-  return isToken ? "" : "a header name is not a token";
-}
-
-/// Checks the lines of a head after its first one.
-std::string
-FindFieldsError(std::string_view aHead)
+FindRequestError(std::string_view aHead)
 {
   aHead.remove_prefix(std::min(aHead.size(), aHead.find(kLineEnd)));
   std::string error;
@@ -95,13 +79,33 @@
     return scan;
   }
   scan.size = end + kHeadEnd.size();
-  if (aMessage == HttpMessage::Response) {
-    scan.error = FindResponseError(aBytes.substr(0, scan.size));
+  scan.error = aMessage == HttpMessage::Request
+                 ? FindRequestError(aBytes.substr(0, end))
+                 : FindResponseError(aBytes.substr(0, scan.size));
+  return scan;
+}
+
+std::string
+FindFieldLineError(std::string_view aLine)
+{
+  if (aLine.find('\n') != std::string_view::npos) {
+    return "a header line ends without a carriage return";
   }
-  if (scan.error.empty()) {
-    scan.error = FindFieldsError(aBytes.substr(0, end));
+  if (!aLine.empty() && kBlanks.find(aLine.front()) != std::string_view::npos) {
+    return "a header line is folded";
   }
-  return scan;
+  const std::size_t colon = aLine.find(':');
+  const std::string_view name = aLine.substr(0, colon);
+  const bool isToken = colon != std::string_view::npos && !name.empty() &&
+                       std::all_of(name.begin(), name.end(), IsTokenCharacter);
+  if (!isToken) {
+    return "a header name is not a token";
+  }
+  return std::any_of(aLine.begin() + static_cast<std::ptrdiff_t>(colon),
+                     aLine.end(),
+                     IsControlCharacter)
+           ? "a header value has a control character"
+           : "";
 }
 
 void
@@ -115,7 +119,9 @@
   aLine.remove_suffix(kLineEnd.size());
   if (m_part == Part::StatusLine) {
     CheckStatusLine(aLine);
-  } else if (aLine.empty() && m_part == Part::Fields) {
+  } else if (!aLine.empty()) {
+    CheckField(aLine);
+  } else if (m_part == Part::Fields) {
     EndHead();
   }
 }
@@ -154,10 +160,19 @@
   m_interim = status < kMinFinalStatus;
 }
 
+void
+ResponseHeadCheck::CheckField(std::string_view aLine)
+{
+  std::string error = FindFieldLineError(aLine);
+  if (!error.empty()) {
+    Reject(std::move(error));
+  }
+}
+
 void
 ResponseHeadCheck::EndHead()
 {
-  m_part = m_interim ? Part::StatusLine : Part::End;
+  m_part = m_interim ? Part::StatusLine : Part::Trailers;
 }
 
 void
--- a/src/sapphirelane/wire/http_head_test.cpp
+++ b/src/sapphirelane/wire/http_head_test.cpp
@@ -10,12 +10,30 @@
 using namespace std::string_literals;
 
 const std::vector<std::string> kMalformedLines = {
-  "Content-Length : 4"s, "X-Name\t: a"s, " folded: a"s,
-  "\tfolded: a"s,        "no colon"s,    ": no name"s,
-  "na me: a"s,           "na\tme: a"s,   "na\0me: a"s,
-  "na\x01me: a"s,        "na\x1fme: a"s, "na\x7fme: a"s,
-  "na\xe9me: a"s,        "na\rme: a"s,   "na\nme: a"s,
-  "na(me: a"s,           "na/me: a"s,    "a: b\nContent-Length: 4"s,
+  "Content-Length : 4"s,
+  "X-Name\t: a"s,
+  " folded: a"s,
+  "\tfolded: a"s,
+  "no colon"s,
+  ": no name"s,
+  "na me: a"s,
+  "na\tme: a"s,
+  "na\0me: a"s,
+  "na\x01me: a"s,
+  "na\x1fme: a"s,
+  "na\x7fme: a"s,
+  "na\xe9me: a"s,
+  "na\rme: a"s,
+  "na\nme: a"s,
+  "na(me: a"s,
+  "na/me: a"s,
+  "a: b\nContent-Length: 4"s,
+  "a: b\0c"s,
+  "a: b\x01"
+  "c"s,
+  "a: b\rc"s,
+  "a: b\x7f"s,
+  "a: b\r\n folded"s,
 };
 
 const std::vector<std::string> kValidLines = {
@@ -146,6 +164,15 @@
   CHECK(m_check.Error().empty());
 }
 
+TEST_CASE_METHOD(ResponseHeadCheckFixture,
+                 "ResponseHeadCheck, trailers, are checked as fields are")
+{
+  Add({ "HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", "X-Last: 1" });
+  CHECK(m_check.Error().empty());
+  Add({ "X Last: 1" });
+  CHECK_FALSE(m_check.Error().empty());
+}
+
 TEST_CASE_METHOD(ResponseHeadCheckFixture,
                  "ResponseHeadCheck, line without a carriage return, is an "
                  "error")
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -42,6 +42,10 @@
 # Those that differ to a client library; each takes a second and more.
 STORE_STATUS = {name: answers.BROKEN_STATUS[f"status {name}"] for name in (
     "HTTP/1.1 000 OK", "HTTP/2.0 200 OK")}
+STORE_FIELD = {str(line): answers.BROKEN_FIELD[f"field {line!r}"] for line in (
+    b"X Trouble: 1", b"X-Trouble : 1", b"X-Tro\x01uble: 1", b": 1",
+    b"X-Trouble: a\x01b")}
+
 
 @dataclasses.dataclass
 class Outcome:
@@ -292,9 +296,14 @@
             "sound": lambda: checks.sound(answers.SOUND, "read"),
             "sound early": lambda: checks.sound(answers.SOUND_EARLY, "upload"),
             "status": lambda: checks.broken(answers.BROKEN_STATUS),
+            "field": lambda: checks.broken(answers.BROKEN_FIELD),
+            "hidden framing": lambda: checks.broken(answers.HIDDEN_FRAMING),
             "early": lambda: checks.early(answers.EARLY["early, reset"]),
             "store, sound": lambda: checks.store_sound(STORE_SOUND),
             "store, status": lambda: checks.store_broken(STORE_STATUS),
+            "store, field": lambda: checks.store_broken(STORE_FIELD),
+            "store, hidden framing": lambda: checks.store_broken(
+                answers.HIDDEN_FRAMING),
         }
         failed = 0
         try:
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -78,6 +78,33 @@
                  "HTTP/1.1 20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1  OK",
                  "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1x 200 OK")}
 
+BROKEN_FIELD = {
+    f"field {line!r}": lambda fields, body, line=line: framed(
+        fields, body, extra=line + b"\r\n")
+    for line in (b"X Trouble: 1", b"X-Trouble : 1", b"X-Trouble\t: 1",
+                 b"X-Tro\tuble: 1", b"X-Tro\x00uble: 1", b"X-Tro\x01uble: 1",
+                 b"X-Tro\x7fuble: 1", b"\x1fX-Trouble: 1", b" X-Trouble: 1",
+                 b": 1", b"X-Trouble", b"X-Tro\ruble: 1", b"X-Tro\nuble: 1",
+                 b"X-Tro\xe9uble: 1", b"X-Trouble: a\x00b",
+                 b"X-Trouble: a\x01b", b"X-Trouble: a\nX-More: b")}
+
+HIDDEN_FRAMING = {
+    "length with a blank": lambda fields, body: unframed(
+        fields, body + b"more", b"Content-Length : %d\r\n" % len(body),
+        ending="close"),
+    "chunks with a blank": lambda fields, body: unframed(
+        fields, chunks(body), b"Transfer-Encoding : chunked\r\n",
+        ending="close"),
+    "chunks with a control byte": lambda fields, body: unframed(
+        fields, chunks(body), b"Transfer-Encoding\x01: chunked\r\n",
+        ending="close"),
+    "trailer with a blank": lambda fields, body: unframed(
+        fields, chunks(body)[:-2] + b"X Trouble: 1\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n"),
+}
+
+BROKEN = {**BROKEN_STATUS, **BROKEN_FIELD, **HIDDEN_FRAMING}
+
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 SOUND = {
