Refuse responses whose framing is not decoded

Callers would have seen: an answer in a transfer coding that nobody decodes, such as "gzip, chunked", reached them with its coded bytes as the body and without the field that names the coding; one in "chunked, chunked" reached them with the sizes of its chunks.

Cause: Boost.Beast reads a coding that does not end in one "chunked" to the end of the connection, and takes "chunked" off the end of a list. Transfer-Encoding is a field of one connection and is not passed on. libcurl accepts two lengths that differ, ignores what follows the digits of a length, and a length beside chunks.

Change: ResponseHeadCheck accepts one length, which may be repeated, or the coding chunked, not both (RFC 9112, section 6). "identity", which is obsolete and changes nothing, is accepted as before. Daemons do not send TE, so that no endpoint may answer in another coding.

--- a/include/sapphirelane/wire/http_head.h
+++ b/include/sapphirelane/wire/http_head.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_WIRE_HTTP_HEAD_H
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -45,7 +46,9 @@
 ///
 /// Errors are: a line without a carriage return; a version other than HTTP/1;
 /// a status outside 100 to 599 (RFC 9110, section 15), or 101, as nothing asks
-/// for another protocol; a field line with an error.
+/// for another protocol; a field line with an error; lengths that contradict
+/// each other or a chunked body; a transfer coding other than chunked (RFC
+/// 9112, section 6), as the body would be passed on encoded.
 class ResponseHeadCheck
 {
 public:
@@ -69,11 +72,15 @@
 
   void CheckStatusLine(std::string_view aLine);
   void CheckField(std::string_view aLine);
+  void CheckLengths(std::string_view aValue);
+  void CheckCodings(std::string_view aValue);
   void EndHead();
   void Reject(std::string aError);
 
   Part m_part = Part::StatusLine;
   bool m_interim = false;
+  std::optional<std::string> m_length;
+  bool m_chunked = false;
   std::string m_error;
 };
 
--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -350,6 +350,59 @@
   CHECK_FALSE(end.whole);
 }
 
+/// Guards against a line that is passed on, or that hides where the body ends.
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, header line is malformed, fails at once and "
+                 "reports no head",
+                 "[field]")
+{
+  using namespace std::string_literals;
+  for (const std::string& line : { "X Trouble: 1"s,
+                                   "X-Trouble : 1"s,
+                                   "X-Tro\tuble: 1"s,
+                                   "X-Tro\0uble: 1"s,
+                                   "X-Tro\x01uble: 1"s,
+                                   "X-Tro\x7fuble: 1"s,
+                                   "X-Trouble: a\x01"
+                                   "b"s,
+                                   "Content-Length : 3"s,
+                                   "Transfer-Encoding\x01: chunked"s }) {
+    INFO(line);
+    Start(1, /*aBufferResponse=*/false);
+    RawConnection endpoint = m_listener.Accept();
+    endpoint.ReadUntil("\r\n\r\n");
+    endpoint.Write("HTTP/1.1 200 OK\r\nId: 1\r\n" + line + "\r\n\r\nbad");
+    const AttemptEvent end = NextEvent();
+    CHECK(end.kind == AttemptEvent::Kind::End);
+    CHECK_FALSE(end.whole);
+    CHECK_FALSE(end.kept);
+  }
+}
+
+/// Guards against an encoded body that is taken for the endpoint's.
+TEST_CASE_METHOD(UpstreamClientFixture,
+                 "UpstreamClient, transfer coding is not chunked, fails",
+                 "[framing]")
+{
+  for (const std::string coding : { "gzip",
+                                    "gzip, chunked",
+                                    "chunked, gzip",
+                                    "chunked, chunked",
+                                    "chunked, identity" }) {
+    INFO(coding);
+    Start(1, /*aBufferResponse=*/false);
+    {
+      RawConnection endpoint = m_listener.Accept();
+      endpoint.ReadUntil("\r\n\r\n");
+      endpoint.Write("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: " +
+                     coding + "\r\n\r\n3\r\nbad\r\n0\r\n\r\n");
+    }
+    const AttemptEvent end = NextEvent();
+    CHECK(end.kind == AttemptEvent::Kind::End);
+    CHECK_FALSE(end.whole);
+  }
+}
+
 TEST_CASE_METHOD(UpstreamClientFixture,
                  "UpstreamClient, some interim responses, are skipped",
                  "[status]")
--- a/src/sapphirelane/store/http_client_test.cpp
+++ b/src/sapphirelane/store/http_client_test.cpp
@@ -168,6 +168,43 @@
                    "4\r\nbody\r\n0\r\nX Trouble: 1\r\n\r\n"));
 }
 
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient, lengths contradict each other, is no answer",
+                 "[framing]")
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string chunks = "4\r\nbody\r\n0\r\n\r\n";
+  for (const std::string& answer :
+       { status + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
+         status + "Content-Length: 5\r\nContent-Length: 4\r\n\r\nbody!",
+         status + "Content-Length: 4, 5\r\n\r\nbody!",
+         status + "Content-Length: 4x\r\n\r\nbody",
+         status + "Content-Length: -4\r\n\r\nbody",
+         status + "Content-Length:\r\n\r\nbody",
+         status + "Content-Length: 4\r\n" + chunked + "\r\n" + chunks,
+         status + chunked + "Content-Length: 4\r\n\r\n" + chunks }) {
+    INFO(answer);
+    CHECK_FALSE(Call(answer));
+  }
+}
+
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient, transfer coding is not chunked, is no answer",
+                 "[framing]")
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string chunks = "4\r\nbody\r\n0\r\n\r\n";
+  for (const std::string& answer :
+       { status + "Transfer-Encoding: gzip\r\n\r\nbody",
+         status + "Transfer-Encoding: unknown\r\n\r\nbody",
+         status + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+         status + "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunks }) {
+    INFO(answer);
+    CHECK_FALSE(Call(answer));
+  }
+}
+
 TEST_CASE_METHOD(HttpClientFixture,
                  "HttpClient, answer without a length is reset, is no answer",
                  "[early]")
--- a/src/sapphirelane/wire/http_head.cpp
+++ b/src/sapphirelane/wire/http_head.cpp
@@ -4,8 +4,11 @@
 #include <utility>
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 #include <absl/strings/string_view.h>
+#include <absl/strings/strip.h>
 
 namespace sapphirelane {
 
@@ -41,6 +44,34 @@
   return absl::ascii_isdigit(static_cast<unsigned char>(aCharacter));
 }
 
+std::string_view
+TrimBlanks(std::string_view aText)
+{
+  const std::size_t first = aText.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(kBlanks) - first + 1);
+}
+
+bool
+EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight)
+{
+  return absl::EqualsIgnoreCase({ aLeft.data(), aLeft.size() },
+                                { aRight.data(), aRight.size() });
+}
+
+/// Calls a function with each element of a comma-separated list.
+template<typename Function>
+void
+ForEachElement(std::string_view aList, Function aFunction)
+{
+  for (absl::string_view element :
+       absl::StrSplit(absl::string_view(aList.data(), aList.size()), ',')) {
+    aFunction(TrimBlanks({ element.data(), element.size() }));
+  }
+}
+
 /// Checks the lines of a request head after its first one.
 std::string
 FindRequestError(std::string_view aHead)
@@ -166,13 +197,59 @@
   std::string error = FindFieldLineError(aLine);
   if (!error.empty()) {
     Reject(std::move(error));
+    return;
   }
+  if (m_part == Part::Trailers) {
+    return;
+  }
+  const std::size_t colon = aLine.find(':');
+  const std::string_view name = aLine.substr(0, colon);
+  const std::string_view value = aLine.substr(colon + 1);
+  if (EqualsIgnoreCase(name, "Content-Length")) {
+    CheckLengths(value);
+  } else if (EqualsIgnoreCase(name, "Transfer-Encoding")) {
+    CheckCodings(value);
+  }
+}
+
+void
+ResponseHeadCheck::CheckLengths(std::string_view aValue)
+{
+  // The same length may be repeated (RFC 9110, section 8.6).
+  ForEachElement(aValue, [this](std::string_view aLength) {
+    const bool isNumber =
+      !aLength.empty() && std::all_of(aLength.begin(), aLength.end(), IsDigit);
+    if (!isNumber) {
+      Reject("Content-Length is not a number");
+    } else if (m_length.value_or(std::string(aLength)) != aLength) {
+      Reject("the lengths contradict each other");
+    }
+    m_length = std::string(aLength);
+  });
+}
+
+void
+ResponseHeadCheck::CheckCodings(std::string_view aValue)
+{
+  ForEachElement(aValue, [this](std::string_view aCoding) {
+    // "identity" is obsolete and changes nothing (RFC 2616, section 3.6).
+    const bool isChunked = EqualsIgnoreCase(aCoding, "chunked");
+    if (m_chunked || !(isChunked || EqualsIgnoreCase(aCoding, "identity"))) {
+      Reject("the transfer coding is not chunked");
+    }
+    m_chunked = isChunked;
+  });
 }
 
 void
 ResponseHeadCheck::EndHead()
 {
+  if (m_chunked && m_length) {
+    Reject("both Content-Length and Transfer-Encoding are given");
+  }
   m_part = m_interim ? Part::StatusLine : Part::Trailers;
+  m_length.reset();
+  m_chunked = false;
 }
 
 void
--- a/src/sapphirelane/wire/http_head_test.cpp
+++ b/src/sapphirelane/wire/http_head_test.cpp
@@ -137,6 +137,42 @@
   }
 }
 
+TEST_CASE("ScanHead, framing of a response, is accepted only if it is one that "
+          "is decoded")
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  for (const char* lines : { "",
+                             "Content-Length: 4\r\n",
+                             "content-length:4 \r\n",
+                             "Content-Length: 4, 4\r\nContent-Length: 4\r\n",
+                             "Transfer-Encoding: chunked\r\n",
+                             "transfer-encoding: Chunked \r\n",
+                             "Transfer-Encoding: identity\r\n" }) {
+    INFO(lines);
+    CHECK(Accepts(status + lines));
+  }
+  for (const char* lines :
+       { "Content-Length:\r\n",
+         "Content-Length: 4x\r\n",
+         "Content-Length: -4\r\n",
+         "Content-Length: 4,\r\n",
+         "Content-Length: 4, 5\r\n",
+         "Content-Length: 4\r\nContent-Length: 5\r\n",
+         "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+         "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+         "Transfer-Encoding:\r\n",
+         "Transfer-Encoding: gzip\r\n",
+         "Transfer-Encoding: gzip, chunked\r\n",
+         "Transfer-Encoding: chunked, gzip\r\n",
+         "Transfer-Encoding: chunked, identity\r\n",
+         "Transfer-Encoding: chunked, chunked\r\n",
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" }) {
+    INFO(lines);
+    CHECK_FALSE(Accepts(status + lines));
+  }
+}
+
 class ResponseHeadCheckFixture
 {
 protected:
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -298,12 +298,15 @@
             "status": lambda: checks.broken(answers.BROKEN_STATUS),
             "field": lambda: checks.broken(answers.BROKEN_FIELD),
             "hidden framing": lambda: checks.broken(answers.HIDDEN_FRAMING),
+            "framing": lambda: checks.broken(answers.BROKEN_FRAMING),
             "early": lambda: checks.early(answers.EARLY["early, reset"]),
             "store, sound": lambda: checks.store_sound(STORE_SOUND),
             "store, status": lambda: checks.store_broken(STORE_STATUS),
             "store, field": lambda: checks.store_broken(STORE_FIELD),
             "store, hidden framing": lambda: checks.store_broken(
                 answers.HIDDEN_FRAMING),
+            "store, framing": lambda: checks.store_broken(
+                answers.BROKEN_FRAMING),
         }
         failed = 0
         try:
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -103,7 +103,25 @@
         b"Transfer-Encoding: chunked\r\n"),
 }
 
-BROKEN = {**BROKEN_STATUS, **BROKEN_FIELD, **HIDDEN_FRAMING}
+BROKEN_FRAMING = {
+    "two lengths": lambda fields, body: framed(
+        fields, body, extra=b"Content-Length: %d\r\n" % (len(body) + 1)),
+    "length and chunks": lambda fields, body: unframed(
+        fields, chunks(body), b"Content-Length: %d\r\n"
+        b"Transfer-Encoding: chunked\r\n" % len(body)),
+    "chunks and length": lambda fields, body: unframed(
+        fields, chunks(body), b"Transfer-Encoding: chunked\r\n"
+        b"Content-Length: %d\r\n" % len(body)),
+    "unknown coding": lambda fields, body: unframed(
+        fields, body, b"Transfer-Encoding: gzip\r\n", ending="close"),
+    "unknown coding in chunks": lambda fields, body: unframed(
+        fields, chunks(body), b"Transfer-Encoding: gzip, chunked\r\n"),
+    "chunks twice": lambda fields, body: unframed(
+        fields, chunks(body), b"Transfer-Encoding: chunked, chunked\r\n",
+        ending="close"),
+}
+
+BROKEN = {**BROKEN_STATUS, **BROKEN_FIELD, **HIDDEN_FRAMING, **BROKEN_FRAMING}
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
