--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -145,6 +145,10 @@
         b"Link: x\r\n\r\n" + framed(fields, body).data),
 }
 
+# Those with the status that the endpoints of a soak give.
+USUAL_STATUS = {name: maker for name, maker in SOUND.items()
+                if name != "status 299"}
+
 SOUND_EARLY = {
     "early, with a length": lambda fields, body: dataclasses.replace(
         framed(fields, body), early=True, ending="linger"),
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -3,6 +3,7 @@
 import random
 import time
 
+import answers
 from callers import Caller, Habits
 from world import Route
 
@@ -15,6 +16,12 @@
 EVACUATING_SEEDS = 4  # one in so many seeds has evacuations
 EVACUATED_S = (6.0, 6.5)      # longer than the bound of the promise
 EVACUATIONS_AT = (0.5, 1.5)   # of the first
+ODD_SEEDS = 2         # one in so many seeds has broken and unusual answers
+ODD_PER_S = 1.5       # spells of them begun a second
+STORE_SHARE = 0.25    # of the spells that are the store's
+UPLOADERS = 6         # callers of large bodies, which early answers meet
+UPLOAD_RATE = 8.0     # requests a second of each
+UPLOAD_SIZES = (360000, 360000, 360000)
 CROWD = 60
 CROWD_RATE = 3.0      # requests a second of each caller
 
@@ -100,6 +107,56 @@
         await self.operate(start + pause + short, "restore", other)
         await self.operate(start + lasts, "restore", zone)
 
+    async def odd_answers(self, begin, seconds):
+        """Endpoints and the store send answers that are broken, or unusual but
+        sound. Draws from random numbers of its own."""
+        if self.world.seed % ODD_SEEDS != 1:
+            return
+        draw = random.Random(f"{self.world.seed} odd answers")
+        habits = Habits(route="upload", sizes=UPLOAD_SIZES)
+        spells = [asyncio.create_task(
+            Caller(self.world, 2000 + i, "steady", UPLOAD_RATE, habits).run(
+                begin + seconds)) for i in range(UPLOADERS)]
+        for at in sorted(draw.uniform(0.5, seconds)
+                         for _ in range(int(seconds * ODD_PER_S))):
+            await asyncio.sleep(max(0, begin + at - time.monotonic()))
+            lasts = draw.uniform(0.3, min(2.0, seconds - at + 0.4))
+            if draw.random() < STORE_SHARE:
+                spell = self.odd_store(draw, lasts)
+            else:
+                spell = self.odd_endpoint(draw, lasts)
+            spells.append(asyncio.create_task(spell))
+        await asyncio.gather(*spells)
+
+    async def odd_endpoint(self, draw, seconds):
+        """One answer of many, so that each kind comes as often."""
+        kinds = draw.choice((answers.EARLY, answers.EARLY,
+                             answers.EARLY, answers.BROKEN_STATUS,
+                             answers.BROKEN_FIELD, answers.HIDDEN_FRAMING,
+                             answers.BROKEN_FRAMING, answers.USUAL_STATUS,
+                             answers.SOUND_EARLY))
+        name, script = draw.choice(list(kinds.items()))
+        there = self.world.alive("voice" if "early" in name
+                                 else draw.choice(("scripts", "cues")))
+        if len(there) < 3:
+            return
+        endpoint = draw.choice(there)
+        endpoint.script_is_sound = kinds in (answers.USUAL_STATUS,
+                                             answers.SOUND_EARLY)
+        endpoint.script = script
+        self.note(f"answers of {endpoint.name}: {name}, {seconds:.1f} s")
+        self.world.harm_endpoint(endpoint, seconds + 3.0)
+        await asyncio.sleep(seconds)
+        endpoint.script = None
+
+    async def odd_store(self, draw, seconds):
+        name, script = draw.choice(list(answers.BROKEN.items()))
+        self.note(f"answers of the store: {name}, {seconds:.1f} s")
+        self.world.harm_store(seconds)
+        self.world.store.script = script
+        await asyncio.sleep(seconds)
+        self.world.store.script = None
+
     async def operate(self, at, order, zone):
         """Gives an order, again until the store takes it."""
         await asyncio.sleep(max(0, at - time.monotonic()))
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -10,6 +10,7 @@
 FEED_KEPT_S = 20.0    # history; the sites' history_s
 ANSWER_S = 0.004      # time of an answer on the sites
 MOST_ROWS = 500       # rows of one answer
+READS = ("/v1/rows-get", "/v1/rows-feed")
 
 
 class Store:
@@ -24,6 +25,7 @@
         self.slow_s = 0.0
         self.lose_answers = 0.0
         self.random = None      # set by the schedule
+        self.script = None      # makes answers, of what isn't so
         self.calls = 0
 
     # What operators and endpoints do.
@@ -55,6 +57,9 @@
             return self.answer(503, {"error": "unavailable"})
         url = urllib.parse.urlsplit(request.target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        if self.script is not None and url.path in READS:
+            return self.script({"Content-Type": "application/json"},
+                               json.dumps(self.untrue(query)).encode())
         if url.path == "/v1/rows-get":
             return self.get(query)
         if url.path == "/v1/rows-feed":
@@ -99,6 +104,17 @@
                 for key, _ in sorted(keys.items(), key=lambda one: one[1])]
         return self.answer(200, {"rows": rows, "ver": self.version})
 
+    def untrue(self, query):
+        """Says that the configuration has no routes, and that all other rows
+        are gone."""
+        empty = base64.b64encode(json.dumps({
+            "version": "fffffffe", "resources": []}).encode()).decode()
+        rows = [{"table": table, "key": key, "ver": self.version,
+                 **({"value": empty} if (table, key) == ("op", "config")
+                    else {"tombstone": True})}
+                for table, key in self.rows if table == query["table"]]
+        return {"rows": rows, "ver": self.version, "has_more": False}
+
     def row(self, table, key):
         version, value = self.rows[table, key]
         if value is None:
