--- a/include/sapphirelane/wire/http_head.h
+++ b/include/sapphirelane/wire/http_head.h
@@ -2,6 +2,7 @@
 #define SAPPHIRELANE_WIRE_HTTP_HEAD_H
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -79,7 +80,7 @@
 
   Part m_part = Part::StatusLine;
   bool m_interim = false;
-  std::optional<std::string> m_length;
+  std::optional<std::uint64_t> m_length;
   bool m_chunked = false;
   std::string m_error;
 };
--- a/src/sapphirelane/wire/http_head.cpp
+++ b/src/sapphirelane/wire/http_head.cpp
@@ -8,7 +8,6 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <absl/strings/string_view.h>
-#include <absl/strings/strip.h>
 
 namespace sapphirelane {
 
@@ -217,14 +216,17 @@
 {
   // The same length may be repeated (RFC 9110, section 8.6).
   ForEachElement(aValue, [this](std::string_view aLength) {
+    std::uint64_t length = 0;
     const bool isNumber =
-      !aLength.empty() && std::all_of(aLength.begin(), aLength.end(), IsDigit);
+      std::all_of(aLength.begin(), aLength.end(), IsDigit) &&
+      absl::SimpleAtoi(absl::string_view(aLength.data(), aLength.size()),
+                       &length);
     if (!isNumber) {
       Reject("Content-Length is not a number");
-    } else if (m_length.value_or(std::string(aLength)) != aLength) {
+    } else if (m_length.value_or(length) != length) {
       Reject("the lengths contradict each other");
     }
-    m_length = std::string(aLength);
+    m_length = length;
   });
 }
 
