Keep the fields of interim answers and trailers out of a reply's headers

A reason with a colon became a header as well.

HttpClient's new test failed before (five headers in place of two) and passes now. The reader of endpoints' answers drops both already.

--- a/include/sapphirelane/wire/http_head.h
+++ b/include/sapphirelane/wire/http_head.h
@@ -60,6 +60,9 @@
   /// @brief The first error; empty if there is none.
   const std::string& Error() const { return m_error; }
 
+  /// @brief Whether the next line is a field of a head or ends it.
+  bool ExpectsField() const { return m_part == Part::Fields; }
+
   /// @brief Whether the head of the final response is complete.
   bool IsComplete() const { return m_part == Part::Trailers; }
 
--- a/src/sapphirelane/store/http_client.cpp
+++ b/src/sapphirelane/store/http_client.cpp
@@ -104,14 +104,17 @@
     const std::size_t size = aItemSize * aItems;
     const std::string line(aBytes, size);
     auto& reader = *static_cast<ReplyReader*>(aReader);
+    const bool isField = reader.check.ExpectsField();
     reader.check.AddLine(line);
     if (!reader.check.Error().empty()) {
       return 0;
     }
     const std::size_t colon = line.find(':');
-    if (colon != std::string::npos) {
+    if (isField && colon != std::string::npos) {
       reader.reply.headers[absl::AsciiStrToLower(line.substr(0, colon))] =
         std::string(absl::StripAsciiWhitespace(line.substr(colon + 1)));
+    } else if (!isField && !reader.check.IsComplete()) {
+      reader.reply.headers.clear(); // Those of an interim response.
     }
     return size;
   }
--- a/src/sapphirelane/store/http_client_test.cpp
+++ b/src/sapphirelane/store/http_client_test.cpp
@@ -262,6 +262,23 @@
   CHECK(reply->headers.at("x-name") == "a value");
 }
 
+/// Guards against a field that a daemon believes to be the final answer's.
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient, interim answers and trailers have fields, does "
+                 "not give them as the answer's",
+                 "[field]")
+{
+  const auto reply =
+    Call("HTTP/1.1 103 Early Hints\r\nX-Name: early\r\nX-Early: 1\r\n\r\n"
+         "HTTP/1.1 200 O:K\r\nX-Name: own\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n"
+         "4\r\nbody\r\n0\r\nX-Name: late\r\nX-Late: 1\r\n\r\n");
+  REQUIRE(reply);
+  CHECK(reply->headers ==
+        std::map<std::string, std::string>{ { "transfer-encoding", "chunked" },
+                                            { "x-name", "own" } });
+}
+
 TEST_CASE_METHOD(HttpClientFixture,
                  "HttpClient, whole answer comes before the request is read, "
                  "is given whole",
