--- a/fuzz/fuzz_answer.cpp
+++ b/fuzz/fuzz_answer.cpp
@@ -83,10 +83,11 @@
   for (const Header& header : aHead.headers) {
     const std::string& name = header.first;
     Require(!name.empty() &&
-            std::all_of(name.begin(), name.end(), [](unsigned char aByte) {
-              return absl::ascii_isgraph(aByte) &&
-                     std::string_view("\"(),/:;<=>?@[\\]{}").find(aByte) ==
-                       std::string_view::npos;
+            std::all_of(name.begin(), name.end(), [](char aCharacter) {
+              constexpr std::string_view kSeparators = "\"(),/:;<=>?@[\\]{}";
+              return absl::ascii_isgraph(
+                       static_cast<unsigned char>(aCharacter)) &&
+                     kSeparators.find(aCharacter) == std::string_view::npos;
             }));
     const std::string& value = header.second;
     Require(std::none_of(value.begin(), value.end(), [](unsigned char aByte) {
