Ignore empty elements in the transfer coding of a response

"Transfer-Encoding: chunked," and an empty one beside a length are sound, as recipients ignore empty elements (RFC 9110, section 5.6.1).

--- a/src/sapphirelane/wire/http_head.cpp
+++ b/src/sapphirelane/wire/http_head.cpp
@@ -234,6 +234,9 @@
 ResponseHeadCheck::CheckCodings(std::string_view aValue)
 {
   ForEachElement(aValue, [this](std::string_view aCoding) {
+    if (aCoding.empty()) {
+      return; // Recipients ignore empty elements (RFC 9110, section 5.6.1).
+    }
     // "identity" is obsolete and changes nothing (RFC 2616, section 3.6).
     const bool isChunked = EqualsIgnoreCase(aCoding, "chunked");
     if (m_chunked || !(isChunked || EqualsIgnoreCase(aCoding, "identity"))) {
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -130,6 +130,8 @@
     "no length, HTTP/1.0": lambda fields, body: unframed(
         fields, body, line="HTTP/1.0 200 OK", ending="close"),
     "chunks": lambda fields, body: unframed(fields, chunks(body), CHUNKED),
+    "empty elements of a list": lambda fields, body: unframed(
+        fields, chunks(body), b"Transfer-Encoding: , chunked,\r\n"),
     "no reason": lambda fields, body: framed(fields, body, "HTTP/1.1 200 "),
     "odd reason": lambda fields, body: framed(
         fields, body, "HTTP/1.1 200 O:K\t\xe9!"),
