Test resets of endpoints at each point of an answer without a length

Guards against a part of an answer that callers get as a whole one.

Added, all with real sockets: a reset after a request and after an upload was sent whole; with a delayed head; in an upload with a length, where another write follows; while reading is paused for a slow caller, with and without an upload that goes on; before the head, with and without an upload; on a reused connection; in one of two attempts that share a body; for HEAD, whose answer is whole behind its head and broken within it.

--- a/src/sapphirelane/proxy/upstream_io_test.cpp
+++ b/src/sapphirelane/proxy/upstream_io_test.cpp
@@ -973,6 +973,291 @@
   }
 }
 
+/// Endpoints that reset their connection at some point of an answer without a
+/// length. Each test guards against a part that is taken for a whole answer.
+class ResetAnswerFixture : public EarlyAnswerFixture
+{
+protected:
+  /// Starts a request without a body, which the endpoint has read.
+  RawConnection StartRead(bool aDelayHead = false)
+  {
+    Start(1, aDelayHead);
+    RawConnection endpoint = m_listener.Accept();
+    endpoint.ReadUntil("\r\n\r\n");
+    return endpoint;
+  }
+
+  /// Starts an upload with a length, of which the endpoint has read all but
+  /// the last four bytes.
+  RawConnection StartUploadWithLength(const std::string& aFirstPart)
+  {
+    m_exchange = MakeUploadExchange();
+    m_exchange->CallerWrite(aFirstPart.data(), aFirstPart.size());
+    AttemptOrder params = MakeUpload(1);
+    params.exchange = m_exchange;
+    params.length = aFirstPart.size() + 4;
+    m_io->Start(params);
+    RawConnection endpoint = m_listener.Accept();
+    endpoint.ReadUntil(aFirstPart);
+    return endpoint;
+  }
+
+  /// Takes the head's event, as the dispatcher does, and forwards the body.
+  void AcceptHead()
+  {
+    const AttemptEvent head = NextEvent();
+    CHECK(head.kind == AttemptEvent::Kind::Head);
+    CHECK(head.head.status == 200);
+    m_exchange->Answer(head.head);
+    m_io->Accept(1);
+  }
+
+  /// Sends a part of an answer and a reset, which a write meets.
+  void ResetInWrite(RawConnection& aEndpoint, const std::string& aPart = "")
+  {
+    HoldClient();
+    aEndpoint.Write(aPart);
+    aEndpoint.Reset();
+    ArriveLast("last");
+    ReleaseClient();
+  }
+
+  void CheckBrokenOff()
+  {
+    const AttemptEvent end = NextEvent();
+    CHECK(end.kind == AttemptEvent::Kind::End);
+    CHECK_FALSE(end.whole);
+    CHECK_FALSE(end.kept);
+    CHECK_FALSE(end.body_kept);
+    CHECK(end.sent);
+  }
+
+  /// Checks that what the caller gets has no proper end.
+  void CheckCallerSeesBreak()
+  {
+    std::string block(65536, 'x');
+    std::size_t read = 0;
+    StreamResult result = StreamResult::Some;
+    const TimePoint end = Clock::now() + std::chrono::seconds(20);
+    while (Clock::now() < end &&
+           (result == StreamResult::Some || result == StreamResult::Wait)) {
+      result = m_exchange->CallerRead(block.data(), block.size(), read);
+    }
+    CHECK(result == StreamResult::Broken);
+  }
+
+  static std::string PartOfAnswer(std::size_t aSize = 10)
+  {
+    return "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + std::string(aSize, 'x');
+  }
+
+  /// More than the client buffers for a caller that reads nothing.
+  static constexpr std::size_t kLargePart = 400000;
+};
+
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, answer without a length is reset after the "
+                 "request was sent whole, is not complete",
+                 "[reset]")
+{
+  RawConnection endpoint = StartRead();
+  endpoint.Write(PartOfAnswer());
+  AcceptHead();
+  endpoint.Reset();
+  CheckBrokenOff();
+  CheckCallerSeesBreak();
+}
+
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, answer without a length is reset after the "
+                 "upload was sent whole, is not complete",
+                 "[reset]")
+{
+  RawConnection endpoint = StartUpload("first");
+  ArriveLast("last");
+  endpoint.ReadUntil("0\r\n\r\n");
+  endpoint.Write(PartOfAnswer());
+  AcceptHead();
+  endpoint.Reset();
+  CheckBrokenOff();
+  CheckCallerSeesBreak();
+}
+
+/// The part and the reset have both arrived before the client reads.
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, delayed answer without a length is reset, "
+                 "reports no head",
+                 "[reset]")
+{
+  RawConnection endpoint = StartRead(/*aDelayHead=*/true);
+  HoldClient();
+  endpoint.Write(PartOfAnswer());
+  endpoint.Reset();
+  ReleaseClient();
+  CheckBrokenOff();
+}
+
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, answer to an upload with a length is reset "
+                 "before the write that meets it has ended, is not complete",
+                 "[reset]")
+{
+  RawConnection endpoint = StartUploadWithLength("first");
+  endpoint.Write(PartOfAnswer());
+  AcceptHead();
+  ResetInWrite(endpoint);
+  CheckBrokenOff();
+  CheckCallerSeesBreak();
+}
+
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, answer is reset while it is not read for a "
+                 "slow caller, is not complete",
+                 "[reset]")
+{
+  RawConnection endpoint = StartRead();
+  endpoint.Write(PartOfAnswer(kLargePart));
+  const AttemptEvent head = NextEvent();
+  m_exchange->Answer(head.head);
+  endpoint.Reset();
+  m_io->Accept(1);
+  CheckCallerSeesBreak();
+  CheckBrokenOff();
+}
+
+/// The write meets the reset long before the read that sees its trace.
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, answer is reset while it is not read for a "
+                 "slow caller and the upload goes on, is not complete",
+                 "[reset]")
+{
+  RawConnection endpoint = StartUpload("first");
+  endpoint.Write(PartOfAnswer(kLargePart));
+  const AttemptEvent head = NextEvent();
+  m_exchange->Answer(head.head);
+  endpoint.Reset();
+  ArriveLast("last");
+  m_io->Accept(1);
+  CheckCallerSeesBreak();
+  CheckBrokenOff();
+}
+
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, connection is reset before the answer's head "
+                 "has arrived, reports no head",
+                 "[reset]")
+{
+  for (const std::string part : { "HTTP/1.1 200 OK\r\nId: 1\r\n", "" }) {
+    INFO("part \"" << part << "\"");
+    RawConnection endpoint = StartRead();
+    endpoint.Write(part);
+    endpoint.Reset();
+    CheckBrokenOff();
+  }
+}
+
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, connection is reset before the answer's head "
+                 "while the upload is written, reports no head",
+                 "[reset]")
+{
+  RawConnection endpoint = StartUpload("first");
+  ResetInWrite(endpoint, "HTTP/1.1 200 OK\r\nId: 1\r\n");
+  CheckBrokenOff();
+}
+
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, answer on a reused connection is reset while "
+                 "the upload is written, is not complete",
+                 "[reset]")
+{
+  AttemptOrder first = MakeUpload(2);
+  first.exchange->CallerFinish();
+  first.length = 0;
+  first.echo_header = "Id";
+  first.echo = "2";
+  m_io->Start(first);
+  RawConnection endpoint = m_listener.Accept();
+  endpoint.ReadUntil("\r\n\r\n");
+  endpoint.Write(FormatResponse("2", "two"));
+  CHECK(NextEvent().head.status == 200);
+  REQUIRE(NextEvent().kept);
+  AttemptOrder second = MakeUpload(1);
+  m_exchange = second.exchange;
+  m_exchange->CallerWrite("first", 5);
+  second.echo_header = "Id";
+  second.echo = "1";
+  m_io->Start(second);
+  endpoint.ReadUntil("first\r\n");
+  endpoint.Write(PartOfAnswer());
+  AcceptHead();
+  ResetInWrite(endpoint);
+  CheckBrokenOff();
+  CheckCallerSeesBreak();
+}
+
+/// Both attempts read the same body; the one whose answer is forwarded is
+/// reset, or the other one is.
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, one of two attempts is reset while the "
+                 "upload is written, decides for itself alone",
+                 "[reset]")
+{
+  RawConnection first = StartUpload("first");
+  AttemptOrder params = MakeUpload(2);
+  params.exchange = m_exchange;
+  m_io->Start(params);
+  RawConnection second = m_listener.Accept();
+  second.ReadUntil("first\r\n");
+  first.Write(PartOfAnswer());
+  CHECK(NextEvent().id == 1);
+  second.Write(PartOfAnswer());
+  CHECK(NextEvent().id == 2);
+  ResetInWrite(second);
+  const AttemptEvent broken = NextEvent();
+  CHECK(broken.id == 2);
+  CHECK_FALSE(broken.whole);
+  m_exchange->Answer({ 200, {}, std::nullopt });
+  m_io->Accept(1);
+  first.EndSending();
+  const AttemptEvent whole = NextEvent();
+  CHECK(whole.id == 1);
+  CHECK(whole.whole);
+  CHECK(ReadResponseBody() == std::string(10, 'x'));
+}
+
+TEST_CASE_METHOD(ResetAnswerFixture,
+                 "UpstreamClient, answer to HEAD is reset behind its head, is "
+                 "complete; within its head, is not",
+                 "[reset]")
+{
+  for (const std::string length : { "", "Content-Length: 10\r\n" }) {
+    for (const bool wholeHead : { true, false }) {
+      INFO("length \"" << length << "\", whole head " << wholeHead);
+      m_exchange = std::make_shared<Exchange>(RequestHead{}, 65536);
+      m_exchange->SetPort(std::make_unique<NullCallerPort>());
+      m_exchange->CallerFinish();
+      AttemptOrder params = MakeUpload(1);
+      params.exchange = m_exchange;
+      params.method = "HEAD";
+      params.has_body = false;
+      m_io->Start(params);
+      RawConnection endpoint = m_listener.Accept();
+      endpoint.ReadUntil("\r\n\r\n");
+      endpoint.Write("HTTP/1.1 200 OK\r\n" + length +
+                     (wholeHead ? "\r\n" : ""));
+      endpoint.Reset();
+      if (wholeHead) {
+        CHECK(NextEvent().head.status == 200);
+      }
+      const AttemptEvent end = NextEvent();
+      CHECK(end.kind == AttemptEvent::Kind::End);
+      CHECK(end.whole == wholeHead);
+      CHECK_FALSE(end.kept);
+    }
+  }
+}
+
 /// Guards against a request of which nobody can tell whether it ran, though not
 /// a byte of it was sent.
 TEST_CASE_METHOD(SlowUploadFixture,
