Test that a broken answer or a broken upload has no proper end

Guards the way out: an answer that breaks off behind its first part is given without the last chunk or the rest of its length, on a connection that closes, whatever the caller asked for and also with an answer to a request that follows waiting behind it. One that breaks off before its head was written gives the caller nothing. A caller that resets its connection within a body, with a length or in chunks, breaks the body off for its attempts, also if a write of the answer met the reset.

--- a/src/sapphirelane/proxy/caller_session_test.cpp
+++ b/src/sapphirelane/proxy/caller_session_test.cpp
@@ -31,6 +31,11 @@
       m_requests.push_back(std::move(aExchange));
       return true;
     };
+    StartSession();
+  }
+
+  void StartSession()
+  {
     m_session = std::make_shared<CallerSession>(m_acceptor.accept(), m_context);
     m_session->Start(m_now);
   }
@@ -411,5 +416,126 @@
   CHECK(m_caller.ReadUntil("never").empty());
 }
 
+/// Sessions one after the other, whose connections are broken off.
+class BrokenSessionFixture : public CallerSessionFixture
+{
+protected:
+  /// Replaces the caller, and its session, by a new one.
+  void Reconnect()
+  {
+    m_caller = RawConnection::Connect(
+      "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()));
+    m_io.restart(); // It stops once the last session has closed.
+    StartSession();
+    m_requests.clear();
+    m_attempt.reset();
+  }
+
+  /// Has the upstream send a head and a part of a body.
+  void AnswerInPart(const std::optional<std::uint64_t>& aLength)
+  {
+    m_requests.front()->Answer({ 200, {}, aLength });
+    m_requests.front()->UpstreamWrite("half", 4);
+  }
+
+  /// Lets the session run until it has closed its connection.
+  void RunUntilClosed()
+  {
+    while (m_session->IsOpen()) {
+      RunOne();
+    }
+  }
+
+  /// @return How the body of the last request ends for an attempt.
+  StreamResult EndOfBody()
+  {
+    std::array<char, 64> bytes{};
+    std::size_t read = 0;
+    return m_requests.back()->UpstreamRead(
+      *m_attempt, bytes.data(), bytes.size(), read);
+  }
+
+  static constexpr std::uint64_t kLength = 8; ///< Of a whole body.
+};
+
+/// Guards against a part of an answer that looks whole to its caller.
+TEST_CASE_METHOD(BrokenSessionFixture,
+                 "CallerSession, answer is broken off behind its first part, "
+                 "ends without the end of the answer",
+                 "[reset]")
+{
+  const std::string next = "GET /next HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (const char* field : { "", "Connection: close\r\n" }) {
+    for (const std::optional<std::uint64_t> length :
+         { std::optional<std::uint64_t>(), std::make_optional(kLength) }) {
+      INFO("field \"" << field << "\", length " << length.value_or(0));
+      Reconnect();
+      const bool closes = *field != '\0';
+      m_caller.Write("GET /x HTTP/1.1\r\nHost: a\r\n" + std::string(field) +
+                     "\r\n" + (closes ? "" : next));
+      ReadUntil(closes ? 1 : 2);
+      m_requests.back()->CallerFinish();
+      AnswerInPart(length);
+      ReadAll();
+      const std::string start = m_caller.ReadUntil("half");
+      CHECK(start.find("HTTP/1.1 200 OK\r\n") == 0);
+      const std::string framing =
+        length ? "Content-Length: 8\r\n" : "Transfer-Encoding: chunked\r\n";
+      CHECK(start.find(framing) != std::string::npos);
+      if (!closes) {
+        m_requests.back()->AnswerWhole({ 200, {}, std::nullopt }, "own");
+      }
+      m_requests.front()->UpstreamBreak();
+      RunUntilClosed();
+      const std::string rest = m_caller.ReadUntil("never");
+      CHECK(rest == (length ? "" : "\r\n")); // The end of the chunk.
+    }
+  }
+}
+
+TEST_CASE_METHOD(BrokenSessionFixture,
+                 "CallerSession, answer is broken off before its head was "
+                 "written, ends without an answer",
+                 "[reset]")
+{
+  for (const std::optional<std::uint64_t> length :
+       { std::optional<std::uint64_t>(), std::make_optional(kLength) }) {
+    Reconnect();
+    Send("/x");
+    ReadUntil(1);
+    AnswerInPart(length);
+    m_requests.front()->UpstreamBreak();
+    RunUntilClosed();
+    CHECK(m_caller.ReadUntil("never").empty());
+  }
+}
+
+/// Guards against a part of a request's body that looks whole to an endpoint.
+TEST_CASE_METHOD(BrokenSessionFixture,
+                 "CallerSession, caller resets its connection within a body, "
+                 "never ends the body",
+                 "[reset]")
+{
+  for (const char* start : { "Content-Length: 8\r\n\r\nhalf",
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "4\r\nhalf\r\n" }) {
+    // A write of the answer may meet the reset in place of the read.
+    for (const bool answered : { false, true }) {
+      INFO(start << ", answered " << answered);
+      Reconnect();
+      m_caller.Write(std::string("POST /x HTTP/1.1\r\nHost: a\r\n") + start);
+      ReadUntil(1);
+      CHECK(ReadBody(4) == "half");
+      CHECK(EndOfBody() == StreamResult::Wait);
+      m_caller.Reset();
+      if (answered) {
+        AnswerInPart(std::nullopt);
+      }
+      RunUntilClosed();
+      CHECK(EndOfBody() == StreamResult::Broken);
+    }
+  }
+}
+
 } // namespace
 } // namespace sapphirelane
