Test that a broken answer is not kept for repeats of its request

Guards against a part of an answer that is kept under an idempotency key and given as a whole one to callers who repeat the request. They get 409 with the outcome "unknown", and the request isn't sent again.

--- a/src/sapphirelane/proxy/session_test.cpp
+++ b/src/sapphirelane/proxy/session_test.cpp
@@ -409,6 +409,28 @@
   CheckGolden("upstream_fails");
 }
 
+/// Guards against a part of an answer that is kept, and given as a whole one to
+/// those who repeat the request.
+TEST_CASE_METHOD(SessionFixture,
+                 "Dispatcher, forwarded answer to a request with a key breaks "
+                 "off, keeps no answer for a repeat",
+                 "[reset]")
+{
+  const Headers key = { { "Idempotency-Key", "i1" } };
+  auto once = Send("POST", "/once/1", key);
+  Head(1, 200);
+  once->UpstreamWrite("half", 4);
+  End(1, false, true, "the connection ended before the answer did");
+  char bytes[16];
+  std::size_t read = 0;
+  CHECK(once->CallerRead(bytes, sizeof bytes, read) == StreamResult::Some);
+  CHECK(once->CallerRead(bytes, sizeof bytes, read) == StreamResult::Broken);
+  auto repeat = Send("POST", "/once/1", key);
+  CHECK(Status(repeat) == 409);
+  CHECK(Outcome(repeat) == "unknown");
+  CHECK(m_upstreams.started.size() == 1);
+}
+
 /// After a restart of all hosts, requests arrive before the configuration,
 /// which follows within 0.15 s. They must not be refused in the meantime.
 TEST_CASE_METHOD(SessionFixture,
