--- a/src/sapphirelane/store/http_client_test.cpp
+++ b/src/sapphirelane/store/http_client_test.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <atomic>
 #include <optional>
 #include <string>
 #include <thread>
@@ -12,6 +16,29 @@
 #include <boost/asio/write.hpp>
 
 #include "sapphirelane/base/error.h"
+#include "sapphirelane/base/time.h"
+
+namespace {
+
+/// Sends of a request that are let through before one waits for a reset; 0 for
+/// no limit.
+std::atomic<int> g_sendsUntilReset{ 0 };
+std::atomic<bool> g_awaitsReset{ false };
+
+} // namespace
+
+/// Takes the place of the system's for libcurl, to have a write meet a reset.
+extern "C" ssize_t
+send(int aSocket, const void* aBytes, std::size_t aSize, int aFlags)
+{
+  if (g_sendsUntilReset > 0 && --g_sendsUntilReset == 0) {
+    g_awaitsReset = true;
+    constexpr int kLongestMs = 20000;
+    pollfd descriptor{ aSocket, 0, 0 };
+    poll(&descriptor, 1, kLongestMs); // Tells errors and hang-ups only.
+  }
+  return sendto(aSocket, aBytes, aSize, aFlags, nullptr, 0);
+}
 
 namespace sapphirelane {
 namespace {
@@ -25,6 +52,7 @@
   Close,  ///< Both sides of the stream.
   Linger, ///< Its own side; it reads until the client closes the other one.
   Reset,
+  ResetInWrite, ///< Once the client waits in a write, see g_awaitsReset.
 };
 
 /// Answers one request with fixed bytes.
@@ -59,7 +87,12 @@
       std::string rest(65536, '\0');
       while (socket.read_some(asio::buffer(rest), ignored) > 0) {
       }
-    } else if (aEnding == Ending::Reset) {
+    } else if (aEnding == Ending::Reset || aEnding == Ending::ResetInWrite) {
+      const TimePoint end = Clock::now() + std::chrono::seconds(20);
+      while (aEnding == Ending::ResetInWrite && !g_awaitsReset &&
+             Clock::now() < end) {
+        std::this_thread::yield();
+      }
       socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     socket.close(ignored);
@@ -218,6 +251,24 @@
   }
 }
 
+/// Guards against a part of an answer that is taken for a whole one: the write
+/// that meets the reset consumes it, and a read sees an end of the stream.
+TEST_CASE_METHOD(HttpClientFixture,
+                 "HttpClient, write meets the reset of an answer without a "
+                 "length, is no answer",
+                 "[early]")
+{
+  const std::string body(4U << 20U, 'x');
+  for (const std::string part : { "a part", "" }) {
+    INFO("part \"" << part << "\"");
+    g_awaitsReset = false;
+    g_sendsUntilReset = 2;
+    CHECK_FALSE(
+      Call("HTTP/1.1 200 OK\r\n\r\n" + part, Ending::ResetInWrite, body));
+    CHECK(g_awaitsReset);
+  }
+}
+
 TEST_CASE_METHOD(HttpClientFixture,
                  "HttpClient, answer is cut off, is no answer",
                  "[early]")
