Test that a daemon's reply which ends within its frame is no reply

Guards against a part of another daemon's reply that is taken for a whole one. Cuts and resets within the length, behind it and within the bytes leave the call without a reply.

--- a/src/sapphirelane/kernel/bulk_duty_test.cpp
+++ b/src/sapphirelane/kernel/bulk_duty_test.cpp
@@ -1,9 +1,13 @@
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <atomic>
+#include <cstdint>
 #include <future>
+#include <string>
 #include <thread>
 
 #include "sapphirelane/base/secret.h"
@@ -109,5 +113,51 @@
   serving.join();
 }
 
+/// Guards against a part of a daemon's reply that is taken for a whole one.
+TEST_CASE_METHOD(BulkFixture,
+                 "Bulk call, reply ends within its frame, gets no reply",
+                 "[reset]")
+{
+  const Socket listener = BindSocket(SOCK_STREAM, "127.0.0.1", 0);
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(listener.Get(), reinterpret_cast<sockaddr*>(&address), &size);
+  std::promise<bool> replied;
+  auto caller =
+    MakeBulkCaller(m_options, *m_metrics, [&](auto, const BulkReply& aReply) {
+      replied.set_value(aReply.has_value());
+    });
+  std::thread calling([&] { caller->Run(); });
+  constexpr std::size_t kLargestRequest = 65536;
+  const std::uint32_t announced = htonl(100);
+  const std::string length(reinterpret_cast<const char*>(&announced),
+                           sizeof announced);
+  for (const bool isReset : { false, true }) {
+    for (const std::string& part : { length + std::string(99, 'x'),
+                                     length,
+                                     length.substr(0, 2),
+                                     std::string() }) {
+      INFO(part.size() << " bytes, reset " << isReset);
+      replied = std::promise<bool>();
+      BulkCall call;
+      call.address = FormatAddress(address);
+      call.request = FetchState{};
+      REQUIRE(caller->Call(call));
+      pollfd incoming{ listener.Get(), POLLIN, 0 };
+      poll(&incoming, 1, -1);
+      {
+        const Socket peer(accept(listener.Get(), nullptr, nullptr));
+        ReadFrame(peer, kLargestRequest);
+        send(peer.Get(), part.data(), part.size(), MSG_NOSIGNAL);
+        const linger reset{ isReset ? 1 : 0, 0 };
+        setsockopt(peer.Get(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      }
+      CHECK_FALSE(replied.get_future().get());
+    }
+  }
+  caller->Stop();
+  calling.join();
+}
+
 } // namespace
 } // namespace sapphirelane
