Play answers that are reset behind a whole request to a real daemon

Guards against a part of an answer that callers get as a whole one. Endpoints read the whole request, send a part of an answer (without a length, as HTTP/1.0, with a length, in chunks, or only of its head) and reset the connection; callers of requests that may be repeated and of ones that may not must get no success with it, and no further runs than allowed.

--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -29,6 +29,7 @@
 LIMIT_S = 2.0
 EARLY_TURNS = 100     # of each of the callers
 EARLY_CALLERS = 8
+BROKEN_OFF_CALLS = 5  # at a time
 UPLOAD = 360000
 PIECE = 1000
 STORE_WAIT_S = 1.0    # in which a daemon reads the store several times
@@ -200,6 +201,29 @@
             if outcome.status != 200 or not self.is_whole(outcome):
                 yield f"{name}: {outcome.status} to the request that follows"
 
+    async def broken_off(self, makers):
+        """What has left for a caller already can't be had elsewhere."""
+        for name, maker in makers.items():
+            for route, body in (("read", b""), ("approve", b"approve")):
+                self.world.script = maker
+                outcomes = await asyncio.gather(*(
+                    self.world.call(route, body)
+                    for _ in range(BROKEN_OFF_CALLS)))
+                self.world.script = None
+                for outcome in outcomes:
+                    for fault in self.check_given(name, outcome):
+                        yield fault
+                    runs = len(self.world.runs_of(outcome))
+                    if runs > (2 if route == "read" else 1):
+                        yield f"{name}, {route}: {runs} runs"
+                unplayed = [one for one in outcomes
+                            if one.request not in self.world.scripted]
+                if unplayed:
+                    yield f"{name}, {route}: {len(unplayed)} weren't reset"
+            outcome = await self.world.call("read")
+            if outcome.status != 200 or not self.is_whole(outcome):
+                yield f"{name}: {outcome.status} to the request that follows"
+
     async def sound(self, makers, route):
         for name, maker in makers.items():
             self.world.script = maker
@@ -290,6 +314,7 @@
             "field": lambda: checks.broken(answers.BROKEN_FIELD),
             "hidden framing": lambda: checks.broken(answers.HIDDEN_FRAMING),
             "framing": lambda: checks.broken(answers.BROKEN_FRAMING),
+            "broken off": lambda: checks.broken_off(answers.BROKEN_OFF),
             "early": lambda: checks.early(answers.EARLY["early, reset"]),
             "store, sound": lambda: checks.store_sound(STORE_SOUND),
             "store, status": lambda: checks.store_broken(STORE_STATUS),
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -125,6 +125,30 @@
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
+
+def part(data):
+    return data[:int(len(data) * PART)]
+
+
+# Sent after the whole request was read; not among BROKEN, as soaks draw from it.
+BROKEN_OFF = {
+    "no length": lambda fields, body: unframed(
+        fields, part(body), ending="reset"),
+    "no length, HTTP/1.0": lambda fields, body: unframed(
+        fields, part(body), line="HTTP/1.0 200 OK", ending="reset"),
+    "length": lambda fields, body: unframed(
+        fields, part(body), b"Content-Length: %d\r\n" % len(body),
+        ending="reset"),
+    "chunks": lambda fields, body: unframed(
+        fields, part(chunks(body)), CHUNKED, ending="reset"),
+    "chunks without the last": lambda fields, body: unframed(
+        fields, chunks(body)[:-len(b"0\r\n\r\n")], CHUNKED, ending="reset"),
+    "no body": lambda fields, body: unframed(fields, b"", ending="reset"),
+    "no end of the head": lambda fields, body: RawAnswer(
+        head(OK, fields), ending="reset"),
+    "nothing": lambda fields, body: RawAnswer(b"", ending="reset"),
+}
+
 SOUND = {
     "no length": lambda fields, body: unframed(fields, body, ending="close"),
     "no length, HTTP/1.0": lambda fields, body: unframed(
