Test that requests in HTTP/1.0 are refused with a length

Guards against answers that end with their connection, which a caller couldn't tell from broken ones: HTTP/1.0 knows no chunks, and such requests get 505.

--- a/src/sapphirelane/proxy/caller_session_test.cpp
+++ b/src/sapphirelane/proxy/caller_session_test.cpp
@@ -510,6 +510,21 @@
   }
 }
 
+/// Guards against answers that end with their connection, which callers could
+/// not tell from broken ones.
+TEST_CASE_METHOD(BrokenSessionFixture,
+                 "CallerSession, request in HTTP/1.0, is refused with a length",
+                 "[reset]")
+{
+  m_caller.Write("GET /x HTTP/1.0\r\nHost: a\r\n\r\n");
+  RunOne();
+  ReadAll();
+  const std::string answer = m_caller.ReadUntil("never");
+  CHECK(answer.find("HTTP/1.1 505 ") == 0);
+  CHECK(answer.find("Content-Length: ") != std::string::npos);
+  CHECK(m_requests.empty());
+}
+
 /// Guards against a part of a request's body that looks whole to an endpoint.
 TEST_CASE_METHOD(BrokenSessionFixture,
                  "CallerSession, caller resets its connection within a body, "
